First version: accept, place, permit, run and report done

Built from the design: shards held by lease, a source per team whose cell in the state service lists every permit, owners that hold room and start what is permitted, one renter.

--- /dev/null
+++ b/ploverhall/bookkeeping/replica.py
@@ -0,0 +1,115 @@
+"""This node's copy of the watched keys: live and ended jobs, who holds what, machine types.
+
+Everything under `p/` is followed by watch. Cells and progress lie outside it: only the holder of a
+team's shard reads those.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ploverhall.protocol import cloud, jobs
+from ploverhall.protocol.cloud import MachineType
+from ploverhall.protocol.state import Event
+
+PREFIX = "p/"
+JOB, END, SHARD, NODE = "p/job/", "p/end/", "p/shard/", "p/node/"
+RENTER, TYPES, TYPE = "p/renter", "p/types", "p/type/"
+
+
+def cell_prefix(team: str) -> str:
+    """Where a team's outstanding permits are kept, in chunks."""
+    return f"c/{_plain(team)}/"
+
+
+def progress_prefix(team: str) -> str:
+    """Where the finished tasks of a team's live arrays are kept, in chunks."""
+    return f"d/{_plain(team)}/"
+
+
+def _plain(name: str) -> str:
+    """Key-safe and injective: the state service's keys hold no spaces and 200 bytes at most."""
+    out = "".join(c if c.isalnum() and c.isascii() or c in "-_." else f"%{ord(c):x}," for c in name)
+    return out if len(out) <= 120 else f"{out[:100]}~{len(out)}~{sum((i + 1) * ord(c) for i, c in enumerate(out)):x}"
+
+
+@dataclass(slots=True)
+class Replica:
+    """Applies events once and in order of revision, from whichever watch brings them first."""
+
+    rev: int = 0
+    ready: bool = False
+    live: dict[str, tuple[jobs.Job, int]] = field(default_factory=dict)
+    ended: dict[str, tuple[str, int]] = field(default_factory=dict)  # how, and the number of tasks done
+    keys: dict[str, tuple[Any, int]] = field(default_factory=dict)  # everything else, small
+    changed_jobs: list[str] = field(default_factory=list)
+
+    def load(self, found: dict[str, tuple[Any, int]], rev: int) -> None:
+        """Start over from a listing whose first page had this revision."""
+        for key in [*(JOB + j for j in self.live), *self.keys]:
+            if key not in found:
+                self._apply(key, None, rev)
+        for key, (value, version) in found.items():
+            self._apply(key, value, version)
+        self.rev = rev
+
+    def apply(self, rev: int, events: list[Event]) -> bool:
+        """Apply a watch's answer; True when something was new."""
+        news = False
+        for e in events:
+            # two watches run at once: one may bring what the other has brought already, and
+            # an old put must not bring back what a later delete has removed
+            if e.version > self.rev:
+                self._apply(e.key, e.value, e.version)
+                news = True
+        self.rev = max(self.rev, rev)
+        return news
+
+    def _apply(self, key: str, value: Any, version: int) -> None:
+        if key.startswith(JOB):
+            jid = key[len(JOB) :]
+            if value is None:
+                self.live.pop(jid, None)
+            elif jid not in self.live or self.live[jid][1] != version:
+                self.live[jid] = (jobs.from_record(value), version)
+            else:
+                return
+            self.changed_jobs.append(jid)
+        elif key.startswith(END):
+            if value is not None:
+                jid = key[len(END) :]
+                self.ended[jid] = (jobs.DONE if value.get("s") == "done" else jobs.WITHDRAWN, int(value.get("n") or 0))
+                self.live.pop(jid, None)
+                self.changed_jobs.append(jid)
+        elif value is None:
+            self.keys.pop(key, None)
+        else:
+            self.keys[key] = (value, version)
+
+    def holder(self, shard: int) -> tuple[str | None, int]:
+        """Who holds a shard, and its epoch."""
+        value, version = self.keys.get(f"{SHARD}{shard}", (None, 0))
+        return (value["node"], version) if value else (None, 0)
+
+    def renter(self) -> tuple[str | None, int]:
+        """Who rents."""
+        value, version = self.keys.get(RENTER, (None, 0))
+        return (value["node"], version) if value else (None, 0)
+
+    def put_own(self, key: str, value: Any, rev: int) -> None:
+        """A write of this node landed: known at once, unless the watch has already been past it."""
+        if rev > self.rev:
+            self._apply(key, value, rev)
+
+    def types(self) -> dict[str, MachineType] | None:
+        """The machine types, once all of them are written; None before."""
+        marker = self.keys.get(TYPES)
+        if marker is None:
+            return None
+        found = [cloud.type_from_record(v) for k, (v, _) in self.keys.items() if k.startswith(TYPE)]
+        return {t.name: t for t in found} if len(found) >= marker[0]["n"] else None
+
+    def alive(self, node: str) -> bool:
+        """Whether a node holds its lease."""
+        return f"{NODE}{node}" in self.keys
--- /dev/null
+++ b/ploverhall/cli.py
@@ -0,0 +1,45 @@
+"""The command line: serve, check-config, status."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from ploverhall import __version__, settings
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command; the exit code says how it went."""
+    p = argparse.ArgumentParser(prog="ploverhall", description=__doc__)
+    p.add_argument("--version", action="version", version=__version__)
+    sub = p.add_subparsers(dest="command", required=True)
+    for name, text in (("serve", "run a controller"), ("check-config", "check settings and say what is wrong")):
+        c = sub.add_parser(name, help=text)
+        c.add_argument("--options", help="operators' own settings (JSON)")
+        c.add_argument("--config", required=True, help="the platform's settings (TOML)")
+    c = sub.add_parser("status", help="what is queued and why, what died and why, teams, machines")
+    c.add_argument("address", help="HOST:PORT of a running controller")
+    c.add_argument("--job", help="only this job")
+    c.add_argument("--json", action="store_true", help="as JSON")
+    args = p.parse_args(argv)
+    if args.command == "status":
+        from ploverhall.status import show
+
+        return show(args.address, args.job, args.json)
+    try:
+        s = settings.load(args.config, args.options)
+    except settings.SettingsError as e:
+        print(f"ploverhall: {e}", file=sys.stderr)
+        return 2
+    if args.command == "check-config":
+        print(f"ok: {s.name} in {s.zone}, {len(s.nodes)} controllers, {len(s.teams)} teams")
+        return 0
+    import anyio
+
+    from ploverhall.node import Node
+
+    async def serve() -> None:
+        await Node(s).run()
+
+    anyio.run(serve)
+    return 0
--- /dev/null
+++ b/ploverhall/coordination/boards.py
@@ -0,0 +1,106 @@
+"""Keyed state from one role to another: what is sent is always the newest value of what changed.
+
+A board belongs to a role here (`kind` and shard, at an epoch) and is meant for another role, wherever
+that is held. A new holder, a new connection or a new epoch gets the whole board; nothing else is
+resent, nothing is queued, and every message may come twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+# a message: [kind, from shard, epoch, to shard, full, changes]
+Message = list[Any]
+RENTER = -1  # stands for the renter where a shard is named
+
+
+@dataclass(slots=True)
+class Board:
+    """What one role tells another."""
+
+    kind: str
+    src: int
+    dst: int
+    epoch: int
+    state: dict[str, Any] = field(default_factory=dict)
+    dirty: set[str] = field(default_factory=set)
+    sent: tuple[str, int] | None = None
+
+    def put(self, key: str, value: Any) -> None:
+        """Set or remove (None) one key."""
+        if self.state.get(key) == value:
+            return
+        if value is None:
+            self.state.pop(key, None)
+        else:
+            self.state[key] = value
+        self.dirty.add(key)
+
+    def replace(self, state: dict[str, Any]) -> None:
+        """Set all keys."""
+        for key in [k for k in self.state if k not in state]:
+            self.put(key, None)
+        for key, value in state.items():
+            self.put(key, value)
+
+
+class Outbox:
+    """All boards of the roles held here."""
+
+    def __init__(self) -> None:
+        self.boards: dict[tuple[str, int, int], Board] = {}
+
+    def board(self, kind: str, src: int, dst: int, epoch: int) -> Board:
+        """The board of a role; a new epoch starts it anew."""
+        b = self.boards.get((kind, src, dst))
+        if b is None or b.epoch != epoch:
+            b = self.boards[kind, src, dst] = Board(kind, src, dst, epoch)
+        return b
+
+    def drop(self, kinds: tuple[str, ...], src: int) -> None:
+        """A role is not held here any more."""
+        for key in [k for k in self.boards if k[0] in kinds and k[1] == src]:
+            del self.boards[key]
+
+    def collect(self, node: str, generation: int, holder: Callable[[int], str | None]) -> list[Message]:
+        """What has to go to a node now."""
+        out: list[Message] = []
+        for b in self.boards.values():
+            if holder(b.dst) != node:
+                continue
+            full = b.sent != (node, generation)
+            if full or b.dirty:
+                out.append([b.kind, b.src, b.epoch, b.dst, full, dict(b.state) if full else {k: b.state.get(k) for k in b.dirty}])
+                b.sent = (node, generation)
+                b.dirty.clear()
+        return out
+
+
+class Inbox:
+    """The newest boards received, kept whether or not the role they are meant for is held here yet."""
+
+    def __init__(self) -> None:
+        self.boards: dict[tuple[str, int, int], tuple[int, dict[str, Any]]] = {}
+
+    def take(self, message: Message) -> bool:
+        """False for a message of an epoch that is over."""
+        kind, src, epoch, dst, full, changes = message
+        key = (kind, src, dst)
+        old_epoch, state = self.boards.get(key, (0, {}))
+        if epoch < old_epoch or (epoch > old_epoch and not full):
+            return False
+        if full:
+            state = {}
+        for k, v in changes.items():
+            if v is None:
+                state.pop(k, None)
+            else:
+                state[k] = v
+        self.boards[key] = (epoch, state)
+        return True
+
+    def epoch(self, kinds: tuple[str, ...], src: int) -> int:
+        """The highest epoch seen of a role."""
+        return max((e for (k, s, _), (e, _) in self.boards.items() if k in kinds and s == src), default=0)
--- /dev/null
+++ b/ploverhall/coordination/renter.py
@@ -0,0 +1,305 @@
+"""The renter: one role for the whole fleet, held by lease. Rents for what waits, returns what is idle.
+
+No I/O: the sources' demand, the owners' machines and the cloud's list are passed in; actions come out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ploverhall.coordination.owner import Vec, add, fits
+from ploverhall.protocol.cloud import Listed, MachineType
+from ploverhall.protocol.jobs import Job, from_record
+
+Kind = tuple[str, str, bool]  # type, zone, spot
+
+
+@dataclass(slots=True)
+class Rented:
+    """A machine as far as the renter knows."""
+
+    name: str
+    kind: Kind
+    since: float
+    listed: str = ""  # the cloud's state for it
+    listed_at: float = 0.0
+    age_s: float = 0.0
+    view: list[Any] | None = None  # an owner's, while a worker reports
+    view_at: float = 0.0
+    part: int = -1
+    idle_since: float | None = None
+    returning: bool = False
+    drain: bool = False
+
+
+@dataclass(slots=True)
+class Rent:
+    """Rent up to count machines."""
+
+    kind: Kind
+    count: int
+
+
+@dataclass(slots=True)
+class Plan:
+    """What the renter does now."""
+
+    rent: list[Rent] = field(default_factory=list)
+    give_back: list[str] = field(default_factory=list)
+
+
+class Renter:
+    """Decides what to rent and what to return."""
+
+    def __init__(self, epoch: int, idle_s: float, spare_share: float, lag_s: float, lease_s: float, now: float) -> None:
+        self.epoch = epoch
+        self.idle_s, self.spare_share, self.lag_s, self.lease_s = idle_s, spare_share, lag_s, lease_s
+        self.started = now
+        self.types: dict[str, MachineType] = {}
+        self.machines: dict[str, Rented] = {}
+        self.demand: dict[int, dict[str, Any]] = {}
+        self.views: dict[int, dict[str, Any]] = {}
+        self.suspects: dict[str, float] = {}
+        self.refused: dict[Kind, tuple[float, float]] = {}  # until, length of the last pause
+        self.gone: dict[str, float] = {}
+        self.lists = 0  # complete lists taken since this renter began
+        self.pleas = 0
+        self.faulty: set[str] = set()
+
+    def plea(self) -> str:
+        """A request name, used once."""
+        self.pleas += 1
+        return f"r-{self.epoch}-{self.pleas}"
+
+    # -- inputs ------------------------------------------------------------------------------
+
+    def on_source(self, src: int, state: dict[str, Any]) -> None:
+        """A source's waiting tasks."""
+        self.demand[src] = state
+
+    def on_owner(self, part: int, state: dict[str, Any], now: float) -> None:
+        """An owner's machines, and those it can't prove anything about ("?")."""
+        asked = set(state.get("?") or ())
+        for name in asked:
+            self.suspects.setdefault(name, now)
+        view = {k: v for k, v in state.items() if k != "?"}
+        for name in self.views.get(part, {}):
+            if name not in view and name in self.machines and self.machines[name].part == part:
+                self.machines[name].view = None
+                self.machines[name].view_at = now
+                self.machines[name].idle_since = None
+        self.views[part] = view
+        for name, v in view.items():
+            m = self.machines.get(name)
+            if m is None:
+                if name in self.gone:
+                    continue
+                m = self.machines[name] = Rented(name, (v[0], v[1], bool(v[2])), now)
+            m.view, m.part, m.view_at = v, part, now
+            if v[4]:
+                m.idle_since = m.idle_since if m.idle_since is not None else now
+            else:
+                m.idle_since = None
+
+    def on_rented(self, names: list[str], kind: Kind, asked: int, now: float) -> None:
+        """The cloud's answer to a request."""
+        for name in names:
+            if name not in self.machines:
+                self.machines[name] = Rented(name, kind, now)
+        if len(names) < asked:
+            self.on_refused(kind, now)
+        else:
+            self.refused.pop(kind, None)
+
+    def on_refused(self, kind: Kind, now: float) -> None:
+        """No capacity: remembered for a while, longer each time, and forgotten again."""
+        pause = min(60.0, self.refused.get(kind, (0.0, 5.0))[1] * 1.6)
+        self.refused[kind] = (now + pause, pause)
+
+    def on_list(self, items: list[Listed], asked_at: float, now: float) -> None:
+        """One complete list of the cloud; it may describe the fleet as it was up to twice the lag ago."""
+        self.lists += 1
+        seen = set()
+        for it in items:
+            seen.add(it.name)
+            if it.name in self.gone:
+                continue
+            m = self.machines.get(it.name)
+            if m is None:
+                m = self.machines[it.name] = Rented(it.name, (it.type, it.zone, it.spot), now - it.age_s)
+            m.listed, m.listed_at, m.age_s = it.state, now, it.age_s
+        old = 2.0 * self.lag_s + 1.0
+        for name, m in list(self.machines.items()):
+            # it existed, and a list that is surely younger does not have it: it was taken or deleted
+            if name not in seen and asked_at - max(m.since, m.view_at if m.view is None else asked_at) > old and m.view is None:
+                self.on_gone([name], now)
+        for name, since in list(self.suspects.items()):
+            if name not in seen and asked_at - since > old:
+                self.on_gone([name], now)
+                del self.suspects[name]
+
+    def on_gone(self, names: list[str], now: float) -> None:
+        """These machines are gone for certain."""
+        for name in names:
+            self.machines.pop(name, None)
+            self.suspects.pop(name, None)
+            self.gone[name] = now
+        while len(self.gone) > 2000:
+            del self.gone[next(iter(self.gone))]
+
+    # -- decisions ---------------------------------------------------------------------------
+
+    def plan(self, now: float) -> Plan:
+        """The difference between what is wanted and what is."""
+        out = Plan()
+        self._returns(now, out)
+        if self.lists and self.types:
+            self._rents(now, out)
+        return out
+
+    def _returns(self, now: float, out: Plan) -> None:
+        for m in self.machines.values():
+            kind = self.types.get(m.kind[0])
+            boot = kind.boot_s if kind else 60.0
+            silent = now - max(m.since, m.view_at)
+            if m.returning or m.listed == "failed":
+                out.give_back.append(m.name)
+            elif m.view is None and m.listed == "booting" and m.age_s > 3.5 * boot + 20:
+                out.give_back.append(m.name)  # it never comes up, and is charged until it is deleted
+            elif m.view is None and m.listed == "running" and silent > 60 + 2 * self.lease_s and now - self.started > 60:
+                out.give_back.append(m.name)  # up, charged, and no worker reports
+            elif m.view is not None and m.view[4] and m.view[5]:
+                out.give_back.append(m.name)  # drained
+            elif m.view is not None and m.view[7]:
+                m.drain = True  # faulty: used up, then replaced
+        spare = self._spare_needed()
+        idle = [
+            m for m in self.machines.values()
+            if m.idle_since is not None and now - m.idle_since > self.idle_s and not m.drain and not m.returning
+        ]  # fmt: skip
+        for m in sorted(idle, key=lambda m: (-self._price(m.kind), m.idle_since or 0.0)):
+            left = self._free_room(now, but=m.name)
+            if m.kind[2] or left >= spare:
+                m.drain = True
+
+    def _price(self, kind: Kind) -> float:
+        t = self.types.get(kind[0])
+        return 0.0 if t is None else t.spot_price if kind[2] else t.price
+
+    def _share(self, vec: Vec, kind: MachineType) -> float:
+        return max((x / c for x, c in zip(vec, kind.vec, strict=True) if c > 0), default=0.0)
+
+    def _spare_needed(self) -> float:
+        """Machines' worth of ordinary room to keep for services that will be submitted."""
+        ordinary = sum(1 for m in self.machines.values() if not m.kind[2] and m.view is not None)
+        return max(1.0, self.spare_share * ordinary)
+
+    def _free_room(self, now: float, but: str = "") -> float:
+        total = 0.0
+        for m in self.machines.values():
+            t = self.types.get(m.kind[0])
+            if t is None or m.name == but or m.kind[2] or m.drain or m.returning:
+                continue
+            if m.view is None:
+                total += 1.0 if self._coming(m, now) else 0.0
+            elif not m.view[5] and not m.view[6] and not m.view[7]:
+                v = m.view[3]
+                total += min((x / c for x, c in zip(v, t.vec, strict=True) if c > 0), default=0.0)
+        return total
+
+    def _coming(self, m: Rented, now: float) -> bool:
+        t = self.types.get(m.kind[0])
+        boot = t.boot_s if t else 60.0
+        return m.view is None and not m.returning and m.listed != "failed" and (
+            now - m.since < 2.5 * boot + 15 and m.view_at == 0.0)
+
+    def _rents(self, now: float, out: Plan) -> None:
+        bins: list[tuple[Kind, list[float]]] = []
+        for m in self.machines.values():
+            t = self.types.get(m.kind[0])
+            if t is None or m.drain or m.returning:
+                continue
+            if m.view is not None:
+                if not (m.view[5] or m.view[6] or m.view[7]):
+                    bins.append((m.kind, list(m.view[3])))
+            elif self._coming(m, now):
+                bins.append((m.kind, list(t.vec)))
+        new: dict[Kind, int] = {}
+        items = [(v[3], from_record(v[0]), v[1], v[2]) for state in self.demand.values() for v in state.values()]
+        for _, job, n, zones in sorted(items, key=lambda x: x[0]):
+            self._fill(job, n, dict(zones) if zones is not None else None, bins, new, now)
+        free = sum(self._bin_share(k, b) for k, b in bins if not k[2])
+        spare = self._spare_needed()
+        tries = 0
+        while free < spare - 0.5 and tries < 10 and any(m.view is not None for m in self.machines.values()):
+            tries += 1
+            ordinary = [m.kind[0] for m in self.machines.values() if not m.kind[2]]
+            name = max(set(ordinary), key=ordinary.count) if ordinary else next(iter(self.types))
+            options = [(name, z, False) for z in self.types[name].zones if not self._paused((name, z, False), now)]
+            if not options:
+                break
+            kind = min(options, key=lambda k: sum(1 for m in self.machines.values() if m.kind[:2] == k[:2]) + new.get(k, 0))
+            new[kind] = new.get(kind, 0) + 1
+            free += 1.0
+        out.rent = [Rent(kind, min(n, 50)) for kind, n in new.items()]
+
+    def _bin_share(self, kind: Kind, room: list[float]) -> float:
+        t = self.types[kind[0]]
+        return min((x / c for x, c in zip(room, t.vec, strict=True) if c > 0), default=0.0)
+
+    def _paused(self, kind: Kind, now: float) -> bool:
+        return self.refused.get(kind, (0.0, 0.0))[0] > now
+
+    def _fill(self, job: Job, n: int, zones: dict[str, int] | None, bins: list[tuple[Kind, list[float]]],
+              new: dict[Kind, int], now: float) -> None:
+        """Put waiting tasks into free and coming room first, then into machines to be rented."""
+        n = min(n, 2000)
+        for kind, room in bins:
+            if not self._ok(job, kind):
+                continue
+            while n > 0 and fits(job.vec, (room[0], room[1], room[2])) and (zones is None or zones.get(kind[1], 0) > 0):
+                room[:] = add((room[0], room[1], room[2]), job.vec, -1)
+                n -= 1
+                if zones is not None:
+                    zones[kind[1]] -= 1
+                    if job.one_zone:
+                        zones = {z: (c if z == kind[1] else 0) for z, c in zones.items()}
+        while n > 0:
+            kind2 = self._choose(job, zones, new, now)
+            if kind2 is None:
+                return
+            new[kind2] = new.get(kind2, 0) + 1
+            room2 = list(self.types[kind2[0]].vec)
+            while n > 0 and fits(job.vec, (room2[0], room2[1], room2[2])) and (zones is None or zones.get(kind2[1], 0) > 0):
+                room2[:] = add((room2[0], room2[1], room2[2]), job.vec, -1)
+                n -= 1
+                if zones is not None:
+                    zones[kind2[1]] -= 1
+                    if job.one_zone:
+                        zones = {z: (c if z == kind2[1] else 0) for z, c in zones.items()}
+            bins.append((kind2, room2))
+
+    def _ok(self, job: Job, kind: Kind) -> bool:
+        return (job.types is None or kind[0] in job.types) and (job.zone is None or job.zone == kind[1]) and (job.spot or not kind[2])
+
+    def _choose(self, job: Job, zones: dict[str, int] | None, new: dict[Kind, int], now: float) -> Kind | None:
+        options = []
+        for t in self.types.values():
+            if (job.types is not None and t.name not in job.types) or not fits(job.vec, t.vec):
+                continue
+            per = self._share(job.vec, t)
+            for z in t.zones:
+                if (job.zone is not None and z != job.zone) or (zones is not None and zones.get(z, 0) <= 0):
+                    continue
+                for spot in (True, False) if job.spot else (False,):
+                    if self._paused((t.name, z, spot), now):
+                        continue
+                    price = (t.spot_price if spot else t.price) * per
+                    load = sum(1 for m in self.machines.values() if m.kind == (t.name, z, spot)) + new.get((t.name, z, spot), 0)
+                    options.append((price, load, (t.name, z, spot)))
+        return min(options)[2] if options else None
+
+    def drains(self, part: int) -> list[str]:
+        """Machines of a part that should be empty."""
+        return sorted(m.name for m in self.machines.values() if m.part == part and (m.drain or m.returning))
--- /dev/null
+++ b/ploverhall/log.py
@@ -0,0 +1,33 @@
+"""One line per event on standard error: level, what, then key=value pairs, so a job's id can be followed."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+LEVELS = {"error": 0, "info": 1, "debug": 2}
+_level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), 1)
+
+
+def _emit(level: str, what: str, fields: dict[str, Any]) -> None:
+    pairs = " ".join(f"{k}={v}" for k, v in fields.items())
+    sys.stderr.write(f"{level} {what} {pairs}\n" if pairs else f"{level} {what}\n")
+    sys.stderr.flush()
+
+
+def error(what: str, **fields: Any) -> None:
+    """Something a person should look at."""
+    _emit("error", what, fields)
+
+
+def info(what: str, **fields: Any) -> None:
+    """Something that changed."""
+    if _level >= 1:
+        _emit("info", what, fields)
+
+
+def debug(what: str, **fields: Any) -> None:
+    """What was decided on the way."""
+    if _level >= 2:
+        _emit("debug", what, fields)
--- /dev/null
+++ b/ploverhall/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Wire words to typed values and back, one module per interface."""
--- /dev/null
+++ b/ploverhall/settings.py
@@ -0,0 +1,207 @@
+"""The platform's settings file (TOML) and the operators' own options (JSON with a schema)."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used; the message names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Peer:
+    """Another controller."""
+
+    name: str
+    zone: str
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class Team:
+    """What a team is guaranteed and what it may use at most (0: none set)."""
+
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    """Operators' own settings; the defaults serve without a file."""
+
+    hold_s: float = 5.0
+    sample: int = 5
+    write_every_s: float = 0.03
+    shard_lease_s: float = 4.0
+    idle_return_s: float = 45.0
+    spare_share: float = 0.12
+    handback_s: float = 6.0
+    direct: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """Everything a controller is told when it starts."""
+
+    name: str
+    zone: str
+    bind: tuple[str, int]
+    peer_listen: tuple[str, int]
+    peers: tuple[Peer, ...]
+    cloud: tuple[str, int]
+    state: tuple[str, int]
+    zones: tuple[str, ...]
+    teams: tuple[Team, ...]
+    objectives: tuple[dict[str, Any], ...]
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+    state_rps: float
+    state_write_rps: float
+    value_bytes: int
+    txn_ops: int
+    cloud_rps: float
+    list_lag_s: float
+    core_share: float
+    mem_mb: float
+    max_sockets: int
+    options: Options = field(default_factory=Options)
+
+    @property
+    def nodes(self) -> list[tuple[str, str]]:
+        """All controllers as (name, zone) in name order: a node's place is its dense index."""
+        return sorted([(self.name, self.zone)] + [(p.name, p.zone) for p in self.peers])
+
+
+class _Table:
+    """Reads fields of a TOML table, naming the field in every complaint."""
+
+    def __init__(self, data: Any, where: str) -> None:
+        if not isinstance(data, dict):
+            raise SettingsError(f"{where or 'settings'}: must be a table")
+        self.data = data
+        self.where = where
+
+    def _name(self, key: str) -> str:
+        return f"{self.where}.{key}" if self.where else key
+
+    def text(self, key: str) -> str:
+        v = self.data.get(key)
+        if not isinstance(v, str) or not v:
+            raise SettingsError(f"{self._name(key)}: must be a non-empty string")
+        return v
+
+    def number(self, key: str, least: float = 0.0, over: bool = False) -> float:
+        v = self.data.get(key)
+        if isinstance(v, bool) or not isinstance(v, (int, float)):
+            raise SettingsError(f"{self._name(key)}: must be a number")
+        if v != v or v in (float("inf"), float("-inf")) or v < least or (over and v == least):
+            raise SettingsError(f"{self._name(key)}: out of range")
+        return float(v)
+
+    def addr(self, key: str) -> tuple[str, int]:
+        host, _, port = self.text(key).rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise SettingsError(f"{self._name(key)}: must be HOST:PORT")
+        return host, int(port)
+
+    def table(self, key: str) -> _Table:
+        return _Table(self.data.get(key), self._name(key))
+
+    def tables(self, key: str) -> list[_Table]:
+        v = self.data.get(key, [])
+        if not isinstance(v, list):
+            raise SettingsError(f"{self._name(key)}: must be a list of tables")
+        return [_Table(t, f"{self._name(key)}[{i}]") for i, t in enumerate(v)]
+
+
+def parse(data: Any, options: Options | None = None) -> Settings:
+    """Check the platform's settings and give them typed; unknown fields are ignored."""
+    top = _Table(data, "")
+    dep, ext = top.table("deployment"), top.table("external")
+    workers, state = dep.table("workers"), dep.table("state")
+    cloud, limits = dep.table("cloud"), dep.table("limits")
+    zones = dep.data.get("zones")
+    if not isinstance(zones, list) or not zones or not all(isinstance(z, str) for z in zones):
+        raise SettingsError("deployment.zones: must be a list of names")
+    peers = tuple(
+        Peer(t.text("host_name"), t.text("site"), *t.addr("addr")) for t in top.tables("siblings")
+    )
+    teams = tuple(
+        sorted(
+            (
+                Team(t.text("name"), t.number("cpus"), t.number("cpus_max"), t.number("gpus"), t.number("gpus_max"))
+                for t in dep.tables("teams")
+            ),
+            key=lambda t: t.name,
+        )
+    )
+    if len({t.name for t in teams}) != len(teams):
+        raise SettingsError("deployment.teams: a name appears twice")
+    s = Settings(
+        name=top.text("host_name"),
+        zone=top.text("site"),
+        bind=top.addr("bind"),
+        peer_listen=top.addr("peer_listen"),
+        peers=peers,
+        cloud=ext.addr("cloud"),
+        state=ext.addr("state"),
+        zones=tuple(sorted(set(zones))),
+        teams=teams,
+        objectives=tuple(t.data for t in dep.tables("objectives")),
+        report_s=workers.number("report_s", over=True),
+        lease_s=workers.number("lease_s", over=True),
+        gang_wait_s=workers.number("gang_wait_s"),
+        gang_peer_s=workers.number("gang_peer_s"),
+        cancel_s=workers.number("cancel_s", over=True),
+        state_rps=state.number("rps", over=True),
+        state_write_rps=state.number("write_rps", over=True),
+        value_bytes=int(state.number("value_kb", over=True) * 1024),
+        txn_ops=int(state.number("txn_ops", 4)),
+        cloud_rps=cloud.number("rps", over=True),
+        list_lag_s=cloud.number("list_lag_s"),
+        core_share=limits.number("core_share", over=True),
+        mem_mb=limits.number("mem_mb", over=True),
+        max_sockets=int(limits.number("max_sockets", 16)),
+        options=options or Options(),
+    )
+    names = [n for n, _ in s.nodes]
+    if len(set(names)) != len(names):
+        raise SettingsError("siblings: a host_name appears twice")
+    return s
+
+
+def load(path: str | Path, options: str | Path | None = None) -> Settings:
+    """Read and check both files."""
+    try:
+        with open(path, "rb") as f:
+            data = tomllib.load(f)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        raise SettingsError(f"{path}: {e}") from e
+    return parse(data, load_options(options) if options else None)
+
+
+def load_options(path: str | Path) -> Options:
+    """Read the operators' options, checked against the published schema."""
+    import fastjsonschema  # only here: most starts have no options file
+    import orjson
+
+    schema = orjson.loads((Path(__file__).parent / "options.schema.json").read_bytes())
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+        fastjsonschema.compile(schema)(data)
+    except (OSError, orjson.JSONDecodeError) as e:
+        raise SettingsError(f"{path}: {e}") from e
+    except fastjsonschema.JsonSchemaException as e:
+        raise SettingsError(f"{path}: {e.message}") from e
+    return Options(**data)
--- /dev/null
+++ b/ploverhall/transport/peer.py
@@ -0,0 +1,113 @@
+"""The link between controllers: one cbor2 stream each way, framed, batched, bounded and versioned.
+
+Each node dials every other and only sends on that connection; the other side answers each frame
+with one byte, so a silent cut is noticed. Nothing is queued across a loss: what is sent is the
+newest state of keyed boards, and a new connection starts with all of it (see coordination.boards).
+"""
+
+from __future__ import annotations
+
+import struct
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import cbor2
+
+VERSION = 1
+MAX_FRAME = 16 * 1024 * 1024
+_BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.IncompleteRead, OSError, TimeoutError)
+
+
+class Link:
+    """The sending side towards one peer. `generation` rises with every new connection."""
+
+    def __init__(self, me: str, name: str, host: str, port: int, collect: Callable[[str, int], list[Any]]) -> None:
+        self.me, self.name, self.host, self.port = me, name, host, port
+        self.collect = collect
+        self.generation = 0
+        self.up = False
+        self.wake = anyio.Event()
+
+    def poke(self) -> None:
+        """There is something to send."""
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Dial, send, dial again."""
+        while True:
+            try:
+                with anyio.fail_after(2.0):
+                    stream = await anyio.connect_tcp(self.host, self.port)
+                async with stream:
+                    self.generation += 1
+                    await self._send(stream, {"v": VERSION, "from": self.me})
+                    self.up = True
+                    await self._pump(stream)
+            except _BROKEN:
+                pass
+            finally:
+                self.up = False
+            await anyio.sleep(0.3)
+
+    async def _pump(self, stream: anyio.abc.SocketStream) -> None:
+        beat = 0.0
+        while True:
+            self.wake = anyio.Event()
+            batch = self.collect(self.name, self.generation)
+            if batch or time.monotonic() - beat > 1.0:
+                beat = time.monotonic()
+                await self._send(stream, batch)
+            with anyio.move_on_after(0.5):
+                await self.wake.wait()
+                await anyio.sleep(0.005)  # what is decided together travels together
+
+    async def _send(self, stream: anyio.abc.SocketStream, value: Any) -> None:
+        data = cbor2.dumps(value)
+        with anyio.fail_after(3.0):
+            await stream.send(struct.pack(">I", len(data)) + data)
+            await stream.receive(1)
+
+
+class Listener:
+    """The receiving side: checks the greeting, hands every batch on, answers one byte."""
+
+    def __init__(self, deliver: Callable[[str, list[Any]], None]) -> None:
+        self.deliver = deliver
+
+    async def run(self, host: str, port: int) -> None:
+        """Listen until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        await listener.serve(self._serve)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        try:
+            async with stream:
+                buf = bytearray()
+                hello = await self._frame(stream, buf)
+                if not isinstance(hello, dict) or hello.get("v") != VERSION or not isinstance(hello.get("from"), str):
+                    return
+                await stream.send(b".")
+                while True:
+                    batch = await self._frame(stream, buf)
+                    if isinstance(batch, list) and batch:
+                        self.deliver(hello["from"], batch)
+                    await stream.send(b".")
+        except (cbor2.CBORDecodeError, ValueError, *_BROKEN):
+            pass
+
+    async def _frame(self, stream: anyio.abc.SocketStream, buf: bytearray) -> Any:
+        size = -1
+        while True:
+            if size < 0 and len(buf) >= 4:
+                (size,) = struct.unpack(">I", buf[:4])
+                if size > MAX_FRAME:
+                    raise ValueError("frame too large")
+            if size >= 0 and len(buf) >= 4 + size:
+                value = cbor2.loads(bytes(buf[4 : 4 + size]))
+                del buf[: 4 + size]
+                return value
+            with anyio.fail_after(10.0):
+                buf += await stream.receive(65536)
