--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -203,5 +203,5 @@
     except (OSError, orjson.JSONDecodeError) as e:
         raise SettingsError(f"{path}: {e}") from e
     except fastjsonschema.JsonSchemaException as e:
-        raise SettingsError(f"{path}: {e.message}") from e
+        raise SettingsError(f"{path}: {e}") from e
     return Options(**data)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,163 @@
+"""The owner's proofs and tokens, one by one."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from ploverhall.coordination.owner import TOKEN_BITS, Owner
+from ploverhall.protocol import workers
+
+from .world import TYPE
+
+EPOCH = 7
+KEY = ("j-000001", 0, 5)
+RECORD = ["j-000001", "c", "team-0", "array", 2, 1, 2.0, 1.0, 8.0, "i", 1.0, None, None, 0, 0, 0, 10.0, 0.0, 0.0, None, 0.0]
+
+
+def owner(epoch: int = EPOCH) -> Owner:
+    o = Owner(0, epoch, 1, 10.0, 1.0, 5.0, 5, Random(1), 0.0)
+    o.types = {"t": TYPE}
+    return o
+
+
+def report(seq: int, token: int, tasks: list[dict[str, Any]] | None = None, session: int = 1) -> workers.Report:
+    return workers.parse({
+        "perch": "n-1", "endpoint": "x:1", "breed": "t", "marsh": "a", "driftwood": False, "tide": session, "peep": seq,
+        "crest": token, "warningS": None, "chicks": tasks or [],
+    })  # fmt: skip
+
+
+def listed(state: str, why: str = "") -> list[dict[str, Any]]:
+    return [{"chick": "j-000001/0", "hatch": 5, "stance": state, "cause": why}]
+
+
+def board(stop: float | None = None, epoch: int = EPOCH, ticket: int = 0, want: int = 0) -> dict[str, Any]:
+    return {"j": RECORD, "v": [2.0, 1.0, 8.0], "w": want, "o": [1.0], "p": [[0, 5, "n-1", epoch, ticket, stop]], "c": [0, 0]}
+
+
+def state(o: Owner) -> str:
+    view = o.view("j-000001")[1]
+    assert view is not None
+    return str(view["t"][0][2])
+
+
+def started(direct: bool) -> tuple[Owner, Any]:
+    """An owner that has sent a run and heard nothing of it."""
+    o = owner()
+    base = EPOCH << TOKEN_BITS
+    m = o.on_report(report(1, base), 0.0)
+    assert m is not None
+    o.on_source(0, True, {KEY[0]: board()}, 0.0)
+    calls = o.commands(m, 0.0, direct=direct)
+    assert [c["call"] for c in calls] == ["run"]
+    return o, m
+
+
+def test_a_late_run_is_fenced_before_its_start_counts_as_gone() -> None:
+    """A /do may be held back for minutes: an empty list under the same token proves nothing."""
+    o, m = started(direct=True)
+    m.busy = True
+    base = EPOCH << TOKEN_BITS
+    o.on_source(0, False, {KEY[0]: board(stop=0.0)}, 1.0)
+    o.on_report(report(2, base), 1.0)
+    assert state(o) == "permitted", "the run may still be on its way under this token"
+    o.commands(m, 1.0)
+    assert m.token > base
+    o.on_report(report(3, m.token), 2.0)
+    assert state(o) == "gone", "the worker has taken a higher token: the late run will be dropped"
+
+
+def test_an_unanswered_direct_command_raises_the_token() -> None:
+    o, m = started(direct=True)
+    before = m.token
+    o.direct_done(m, None, 1.5)
+    assert m.token > before
+
+
+def test_an_old_report_does_not_speak_for_now() -> None:
+    o, m = started(direct=False)
+    base = EPOCH << TOKEN_BITS
+    o.on_report(report(5, base, listed("running")), 1.0)
+    o.on_report(report(4, base), 1.5)
+    assert state(o) == "running"
+
+
+def test_a_new_session_proves_the_old_one_gone() -> None:
+    o, m = started(direct=False)
+    o.on_report(report(9, EPOCH << TOKEN_BITS, session=2), 30.0)
+    assert state(o) == "gone"
+
+
+def test_silence_is_no_proof_for_a_worker_that_never_took_the_token() -> None:
+    """Another owner may be answering it: its lease may be fresh."""
+    o = owner()
+    o.on_report(report(1, 3 << TOKEN_BITS, listed("running")), 0.0)
+    o.on_source(0, True, {KEY[0]: board(epoch=3)}, 0.0)
+    o.tick(500.0)
+    assert state(o) == "running"
+    assert o.suspects(500.0) == ["n-1"], "the cloud is asked"
+    o.machine_gone(["n-1"])
+    assert state(o) == "gone"
+
+
+def test_silence_is_proof_once_the_token_was_taken() -> None:
+    o, m = started(direct=False)
+    o.on_report(report(2, m.token, listed("running")), 1.0)
+    m.last_answer = 1.0
+    o.tick(11.9)
+    assert state(o) == "running"
+    o.tick(12.1)
+    assert state(o) == "gone"
+
+
+def test_a_permit_of_an_earlier_owner_is_not_started_again() -> None:
+    o = owner()
+    m = o.on_report(report(1, EPOCH << TOKEN_BITS), 0.0)
+    assert m is not None
+    o.on_source(0, True, {KEY[0]: board(epoch=EPOCH - 1)}, 0.0)
+    assert o.commands(m, 0.0) == []
+    o.on_report(report(2, EPOCH << TOKEN_BITS), 1.0)
+    assert state(o) == "gone"
+
+
+def test_a_higher_token_deposes() -> None:
+    assert owner().on_report(report(1, (EPOCH + 1) << TOKEN_BITS), 0.0) is None
+
+
+def test_an_exit_is_not_forgotten_before_it_is_recorded() -> None:
+    """After reap the same run would start the task again."""
+    o, m = started(direct=False)
+    o.on_report(report(2, m.token, listed("ended", "done")), 1.0)
+    assert o.commands(m, 1.0) == []
+    o.on_source(0, False, {KEY[0]: None}, 2.0)
+    assert [c["call"] for c in o.commands(m, 2.0)] == ["reap"]
+
+
+def test_reap_fences_a_run_that_is_still_under_way() -> None:
+    o, m = started(direct=True)
+    m.busy = True
+    before = m.token
+    o.on_report(report(2, m.token, listed("ended", "done")), 1.0)
+    o.on_source(0, False, {KEY[0]: None}, 2.0)
+    assert [c["call"] for c in o.commands(m, 2.0)] == ["reap"]
+    assert m.token > before
+
+
+def test_held_room_is_freed_after_the_hold_time_and_a_late_permit_takes_room_or_is_refused() -> None:
+    o = owner()
+    m = o.on_report(report(1, EPOCH << TOKEN_BITS), 0.0)
+    assert m is not None
+    candidate = {**board(want=1), "p": []}
+    o.on_source(0, True, {KEY[0]: candidate}, 0.0)
+    o.place(0.0)
+    view = o.view(KEY[0])[1]
+    assert view is not None and len(view["o"]) == 1
+    assert o.room(m)[1] == TYPE.gpus - 1
+    m.last_report = 5.0
+    o.tick(5.1)
+    assert o.room(m)[1] == TYPE.gpus
+    m.draining = True
+    o.on_source(0, False, {KEY[0]: board(ticket=view["o"][0][0])}, 5.2)
+    o._check_gone(o.permits[KEY], m)
+    assert state(o) == "gone"
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,81 @@
+"""The real decisions in a plain world, under seeded troubles: every rule is judged after each step."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from ploverhall.bookkeeping.replica import JOB
+from ploverhall.coordination.owner import Owner
+from ploverhall.coordination.source import Source
+
+from .world import Broken, World, job
+
+
+def play(seed: int, chaos_s: float = 90.0, calm_s: float = 150.0, **kw: int) -> World:
+    w = World(seed, **kw)
+    rng = Random(seed + 1)
+    for i in range(16):
+        w.later(rng.random() * chaos_s * 0.7, lambda i=i: w.submit(job(rng, f"j-{i:06d}", w.now)))
+        if rng.random() < 0.3:
+            w.later(chaos_s * (0.3 + 0.6 * rng.random()), w.withdraw, f"j-{i:06d}")
+    w.run(chaos_s)
+    w.chaos = 0.0
+    for node in w.nodes:
+        if not node.up:
+            w.crash(node, 0.1)
+    for worker in w.workers.values():
+        worker.hung_until = min(worker.hung_until, w.now + 1.0)
+    w.cuts.clear()
+    for s in [s for s in w.specs.values() if s.kind == "service"]:
+        w.later(60.0, w.withdraw, s.id)
+    w.run(chaos_s + calm_s)
+    return w
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_and_everything_finishes(seed: int) -> None:
+    w = play(seed)
+    left = [k for k in w.store.kv if k.startswith(JOB)]
+    assert not left, f"not finished: {left}"
+    cells = {k: v for k, (v, _) in w.store.kv.items() if k.startswith("c/")}
+    assert not cells, f"permits left over: {cells}"
+    assert not any(x.tasks for x in w.workers.values()), "workers still remember tasks"
+    assert w.starts > 10
+
+
+def test_small_values_are_chunked() -> None:
+    w = play(100, value_bytes=400, txn_ops=4)
+    assert not [k for k in w.store.kv if k.startswith(JOB)]
+
+
+def _seeds_until_broken(n: int = 25) -> bool:
+    for seed in range(n):
+        try:
+            play(seed, calm_s=40.0)
+        except Broken:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("guard", ["silence counts as gone", "no limit", "no zones"])
+def test_the_judge_notices_a_missing_guard(guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With one guard taken out, the world must see a rule broken; else it judges nothing."""
+    if guard == "silence counts as gone":
+        real = Owner.tick
+
+        def tick(self: Owner, now: float) -> None:
+            for m in self.machines.values():
+                if now - m.last_report > 3.0:
+                    for p in m.permits.values():
+                        p.gone = True
+                        self.dirty_jobs.add(p.key[0])
+            real(self, now)
+
+        monkeypatch.setattr(Owner, "tick", tick)
+    elif guard == "no limit":
+        monkeypatch.setattr(Source, "headroom", lambda self, js: 1000)
+    else:
+        monkeypatch.setattr(Source, "zone_room", lambda self, js: None)
+    assert _seeds_until_broken()
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,579 @@
+"""A slow, plain world in virtual time: state service, workers and network as the protocol describes them.
+
+It runs the real decision code (Owner, Source, boards, Replica) under seeded losses, delays, crashes,
+cuts and late messages, and notices every broken rule itself, from the workers' side only.
+"""
+
+from __future__ import annotations
+
+import heapq
+from random import Random
+from typing import Any
+
+from ploverhall.bookkeeping.replica import END, JOB, PREFIX, SHARD, Replica, cell_prefix, progress_prefix
+from ploverhall.coordination.boards import Inbox, Outbox
+from ploverhall.coordination.owner import Owner
+from ploverhall.coordination.shards import Layout
+from ploverhall.coordination.source import Source
+from ploverhall.protocol import workers
+from ploverhall.protocol.cloud import MachineType
+from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.state import Event
+from ploverhall.settings import Team
+
+LEASE, REPORT, GANG_WAIT, GANG_PEER, CANCEL = 10.0, 1.0, 30.0, 4.0, 35.0
+TYPE = MachineType("t", 16.0, 4.0, 128.0, 60.0, 1.0, 10.0, 3.0, 20.0, ("a", "b"))
+
+
+class Broken(AssertionError):
+    """A rule of the protocol was broken."""
+
+
+class Store:
+    """The state service."""
+
+    def __init__(self) -> None:
+        self.rev = 1
+        self.kv: dict[str, tuple[Any, int]] = {}
+        self.log: list[Event] = []
+
+    def txn(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], limit: int = 48) -> tuple[int, list[str]]:
+        assert len(puts) + len(deletes) <= limit and len(guards) <= 4 * limit, "over the limits of a transaction"
+        failed = [k for k, v in guards.items() if self.kv.get(k, (None, 0))[1] != v]
+        if failed:
+            return 0, failed
+        self.rev += 1
+        for k, v in puts.items():
+            self.kv[k] = (v, self.rev)
+            self.log.append(Event(k, v, self.rev))
+        for k in deletes:
+            if self.kv.pop(k, None) is not None:
+                self.log.append(Event(k, None, self.rev))
+        return self.rev, []
+
+    def read(self, prefix: str) -> dict[str, tuple[Any, int]]:
+        return {k: v for k, v in sorted(self.kv.items()) if k.startswith(prefix)}
+
+
+class Worker:
+    """One machine, to the letter of the protocol."""
+
+    def __init__(self, world: World, name: str, zone: str, spot: bool) -> None:
+        self.w, self.name, self.zone, self.spot = world, name, zone, spot
+        self.session, self.seq, self.token = 1, 0, 0
+        self.tasks: dict[workers.Key, dict[str, Any]] = {}
+        self.home = world.rng.randrange(len(world.nodes))
+        self.answered_sent = world.now  # when the last answered report was sent
+        self.dead = False
+        self.hung_until = 0.0
+        self.images: set[str] = set()
+
+    def report(self) -> dict[str, Any]:
+        self.seq += 1
+        return {
+            "perch": self.name, "endpoint": "x:1", "breed": "t", "marsh": self.zone, "driftwood": self.spot,
+            "tide": self.session, "peep": self.seq, "crest": self.token, "warningS": None,
+            "chicks": [
+                {"chick": f"{k[0]}/{k[1]}", "hatch": k[2], "stance": t["state"], **({"cause": t["why"]} if t["state"] == "ended" else {})}
+                for k, t in self.tasks.items()
+            ],
+        }  # fmt: skip
+
+    def tick(self) -> None:
+        """Lease, image fetches, progress."""
+        if self.w.now - self.answered_sent > LEASE:
+            self.tasks.clear()
+            self.session += 1
+            self.answered_sent = self.w.now
+        for key, t in list(self.tasks.items()):
+            job = self.w.specs[key[0]]
+            if t["state"] == "pulling" and self.w.now >= t["ready"]:
+                self.images.add(job.image)
+                t["state"] = "waiting" if job.kind == "gang" else "running"
+                t["since"] = self.w.now
+                t["until"] = self.w.now + (1e9 if job.kind == "service" else job.estimate_s)
+                self.w.started(self, key)
+            elif t["state"] == "running" and job.kind != "gang" and self.w.now >= t["until"]:
+                t["state"], t["why"] = "ended", "done"
+                self.w.results.add((key[0], key[1]))
+
+    def execute(self, calls: list[dict[str, Any]]) -> None:
+        for c in calls:
+            job, index = workers.split_task(c["chick"])
+            key = (job, index, c["hatch"])
+            if c["call"] == "run":
+                if key in self.tasks:
+                    continue
+                fetch = 0.1 if self.w.specs[job].image in self.images else 2.0
+                t: dict[str, Any] = {"state": "pulling", "why": "", "ready": self.w.now + fetch}
+                if any(k[:2] == key[:2] and o["state"] != "ended" for k, o in self.tasks.items()):
+                    t.update(state="ended", why="in_use")
+                elif self.used() + self.w.specs[job].gpus > TYPE.gpus:
+                    t.update(state="ended", why="no_room")
+                elif (job, index) in self.w.results:
+                    t.update(state="ended", why="done")
+                self.tasks[key] = t
+            elif c["call"] == "kill":
+                if key in self.tasks and self.tasks[key]["state"] != "ended":
+                    self.tasks[key].update(state="ended", why="halted")
+            elif key in self.tasks and self.tasks[key]["state"] == "ended":
+                del self.tasks[key]
+
+    def used(self) -> float:
+        return sum(self.w.specs[k[0]].gpus for k, t in self.tasks.items() if t["state"] != "ended")
+
+    def on_answer(self, body: dict[str, Any], sent: float, session: int) -> None:
+        self.tick()
+        if body.get("crest", -1) < self.token or session != self.session:
+            return
+        self.token = body["crest"]
+        self.answered_sent = sent
+        self.execute(body["calls"])
+
+    def on_do(self, body: dict[str, Any]) -> dict[str, Any]:
+        self.tick()
+        if body["crest"] >= self.token and body["tide"] == self.session:
+            self.token = body["crest"]
+            self.execute(body["calls"])
+        return self.report()
+
+    def on_machine(self) -> list[workers.Key]:
+        if self.w.now - self.answered_sent > LEASE + 0.1:
+            return []  # hung beyond its lease: whatever it wakes with, its tasks are killed first
+        return [k for k, t in self.tasks.items() if t["state"] not in ("pulling", "ended")]
+
+
+class Held:
+    """A shard held by a node in the world."""
+
+    def __init__(self, node: Node, shard: int, epoch: int) -> None:
+        w = node.w
+        self.node, self.shard, self.epoch = node, shard, epoch
+        self.owner = Owner(shard, epoch, len(w.nodes), LEASE, REPORT, 5.0, 5, w.rng, w.now)
+        self.owner.types = {"t": TYPE}
+        self.owner.job_vec = lambda jid: node.replica.live[jid][0].vec if jid in node.replica.live else None
+        teams = [w.teams[t] for t in w.layout.teams(shard)]
+        # the cells are read after the claim: from here on no earlier holder can write them
+        self.source = Source(shard, epoch, teams, ("a", "b"), w.value_bytes, w.txn_ops)
+        node.replica.apply(w.store.rev, [e for e in w.store.log if e.key.startswith(PREFIX)])
+        for jid, (job, version) in node.replica.live.items():
+            if w.layout.team_shard[job.team] == shard:
+                self.source.on_job(job, jid, version, w.now)
+        for t in teams:
+            self.source.install_cell(t.name, w.store.read(cell_prefix(t.name)), w.now)
+            self.source.install_progress(t.name, w.store.read(progress_prefix(t.name)))
+        for js in self.source.jobs.values():
+            if js.job is not None and js.job.kind == "array" and js.done_count == js.n:
+                js.complete = True
+        self.busy = False
+
+
+class Node:
+    """One controller, with its crash and its copy of the store."""
+
+    def __init__(self, world: World, index: int, zone: str) -> None:
+        self.w, self.index, self.zone, self.name = world, index, zone, f"c{index}"
+        self.boot()
+
+    def boot(self) -> None:
+        self.up_at = 0.0
+        self.replica = Replica(ready=True)
+        self.replica.load(self.w.store.read(PREFIX), self.w.store.rev)
+        self.replica.changed_jobs.clear()
+        self.inbox, self.outbox = Inbox(), Outbox()
+        self.held: dict[int, Held] = {}
+        self.generation: dict[str, int] = {}
+
+    @property
+    def up(self) -> bool:
+        return self.w.now >= self.up_at
+
+    def holder(self, role: int) -> str | None:
+        return self.name if role in self.held else self.replica.holder(role)[0]
+
+    def news(self) -> None:
+        changed, self.replica.changed_jobs = self.replica.changed_jobs, []
+        for jid in changed:
+            known = self.replica.live.get(jid)
+            for h in self.held.values():
+                if known is not None:
+                    if self.w.layout.team_shard[known[0].team] == h.shard:
+                        h.source.on_job(known[0], jid, known[1], self.w.now)
+                else:
+                    h.owner.job_ended(jid)
+                    if jid in h.source.jobs and h.source.jobs[jid].job is not None:
+                        h.source.on_job(None, jid, 0, self.w.now)
+        for h in list(self.held.values()):
+            if self.replica.holder(h.shard)[1] > h.epoch:
+                del self.held[h.shard]
+                self.outbox.drop(("s", "o"), h.shard)
+
+    def take(self, shard: int, epoch: int) -> None:
+        self.held[shard] = Held(self, shard, epoch)
+        for (kind, src, dst), (e, state) in list(self.inbox.boards.items()):
+            if dst == shard:
+                self.dispatch([kind, src, e, dst, True, dict(state)])
+
+    def dispatch(self, message: list[Any]) -> None:
+        kind, src, epoch, dst, full, changes = message
+        h = self.held.get(dst)
+        if h is None or epoch < self.replica.holder(src)[1]:
+            return
+        if kind == "s":
+            h.owner.on_source(src, full, changes, self.w.now)
+        else:
+            h.source.on_owner(src, epoch, full, changes, self.w.now)
+
+    def step(self) -> None:
+        now = self.w.now
+        for _ in range(3):
+            for h in list(self.held.values()):
+                self._step(h, now)
+            for m in self.outbox.collect(self.name, 0, self.holder):
+                if self.inbox.take(m):
+                    self.dispatch(m)
+        for other in self.w.nodes:
+            if other is not self:
+                if self.w.cut(self, other):
+                    self.generation[other.name] = self.generation.get(other.name, 0) + 1  # a new connection follows
+                    continue
+                batch = self.outbox.collect(other.name, self.generation.get(other.name, 0) * 1000 + other.lives, self.holder)
+                if batch:
+                    # values travel as they are now: what is sent must not change under way
+                    self.w.later(self.w.delay(), other.receive, _copy(batch), other.lives)
+
+    lives = 0
+
+    def receive(self, batch: list[Any], lives: int) -> None:
+        if lives == self.lives and self.up:
+            for m in batch:
+                if self.inbox.take(m):
+                    self.dispatch(m)
+
+    def _step(self, h: Held, now: float) -> None:
+        o, s = h.owner, h.source
+        o.tick(now)
+        o.place(now)
+        for p in o.permits.values():
+            o._check_gone(p, o.machines.get(p.machine))
+        for m, body in o.direct_work(now):
+            self.w.direct(self, h, m, _copy(body))
+        jobs_, o.dirty_jobs = o.dirty_jobs, set()
+        for jid in jobs_:
+            srcs, view = o.view(jid)
+            for i in range(len(self.w.nodes)):
+                self.outbox.board("o", h.shard, i, h.epoch).put(jid, _copy(view) if i in srcs else None)
+        s.decide(now)
+        s.changed.update(j for j in s.jobs)
+        changed, s.changed = s.changed, set()
+        for part in range(len(self.w.nodes)):
+            b = self.outbox.board("s", h.shard, part, h.epoch)
+            for jid in changed:
+                b.put(jid, _copy(s.board(jid, part, now)))
+        if not h.busy and (txn := s.plan()) is not None:
+            h.busy = True
+            self.w.write(self, h, txn)
+
+
+def _copy(x: Any) -> Any:
+    if isinstance(x, dict):
+        return {k: _copy(v) for k, v in x.items()}
+    return [_copy(v) for v in x] if isinstance(x, (list, tuple)) else x
+
+
+class World:
+    """Everything, and the judge of the rules."""
+
+    def __init__(self, seed: int, machines: int = 9, value_bytes: int = 4096, txn_ops: int = 8, chaos: float = 1.0) -> None:
+        self.rng = Random(seed)
+        self.chaos = chaos
+        self.now = 0.0
+        self.n = 0
+        self.queue: list[tuple[float, int, Any, tuple[Any, ...]]] = []
+        self.store = Store()
+        self.value_bytes, self.txn_ops = value_bytes, txn_ops
+        self.teams = {f"team-{i}": Team(f"team-{i}", 0, 0, 4, 10) for i in range(4)}
+        self.layout = Layout([("c0", "a"), ("c1", "b"), ("c2", "a")], list(self.teams))
+        self.specs: dict[str, Job] = {}
+        self.results: set[tuple[str, int]] = set()
+        self.cancelled: dict[str, float] = {}
+        self.cuts: dict[tuple[str, str], float] = {}
+        self.nodes: list[Node] = []
+        for i, z in enumerate("aba"):
+            self.nodes.append(Node(self, i, z))
+        self.orphan: dict[int, float] = {}
+        self.workers = {f"n-{i}": Worker(self, f"n-{i}", "ab"[i % 2], i % 4 == 3) for i in range(machines)}
+        self.starts = 0
+        for w in self.workers.values():
+            self.later(self.rng.random(), self.report, w)
+        self.later(0.0, self.tick)
+        self.later(3.0, self.trouble)
+
+    # -- time and troubles -------------------------------------------------------------------
+
+    def later(self, after: float, what: Any, *args: Any) -> None:
+        self.n += 1
+        heapq.heappush(self.queue, (self.now + after, self.n, what, args))
+
+    def delay(self) -> float:
+        return 0.002 + (self.rng.random() ** 6) * 0.5 * self.chaos
+
+    def run(self, until: float) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, what, args = heapq.heappop(self.queue)
+            what(*args)
+        self.now = until
+
+    def cut(self, a: Any, b: Any) -> bool:
+        return self.cuts.get((min(a.name, b.name), max(a.name, b.name)), 0.0) > self.now
+
+    def trouble(self) -> None:
+        self.later(2.0 + 6.0 * self.rng.random(), self.trouble)
+        if self.chaos <= 0:
+            return
+        kind = self.rng.randrange(5)
+        if kind == 0:
+            self.crash(self.rng.choice(self.nodes), self.rng.choice([0.5, 3.0, 15.0]))
+        elif kind == 1:
+            for n in self.nodes:
+                if self.rng.random() < 0.5:
+                    self.crash(n, 3.0)
+        elif kind == 2:
+            pair = self.rng.sample([*self.nodes, *self.workers.values()], 2)
+            names = sorted(x.name for x in pair)
+            self.cuts[names[0], names[1]] = self.now + self.rng.choice([2.0, 8.0, 20.0])
+        elif kind == 3:
+            w = self.rng.choice(list(self.workers.values()))
+            w.hung_until = self.now + self.rng.choice([3.0, 8.0, 25.0])
+        else:
+            node = self.rng.choice(self.nodes)
+            for w in self.workers.values():
+                self.cuts[min(node.name, w.name), max(node.name, w.name)] = self.now + 6.0
+
+    def crash(self, node: Node, down: float) -> None:
+        node.lives += 1
+        node.held.clear()
+        node.up_at = self.now + down
+
+        def back(lives: int) -> None:
+            if node.lives == lives:
+                node.boot()
+
+        self.later(down, back, node.lives)
+
+    # -- the parts in between ------------------------------------------------------------------
+
+    def tick(self) -> None:
+        self.later(0.05, self.tick)
+        for w in self.workers.values():
+            if not w.dead and self.now >= w.hung_until:
+                w.tick()
+        self.gangs()
+        for n in self.nodes:
+            if n.up:
+                if self.rng.random() < 0.7 or self.chaos <= 0:
+                    n.replica.apply(self.store.rev, [e for e in self.store.log[-400:] if e.key.startswith(PREFIX)])
+                n.news()
+                self.shards(n)
+                n.step()
+        self.judge()
+
+    def shards(self, n: Node) -> None:
+        for i in range(len(self.nodes)):
+            value, version = self.store.kv.get(f"{SHARD}{i}", (None, 0))
+            holder = value["node"] if value else None
+            if holder == n.name and (i not in n.held or n.held[i].epoch != version):
+                self.claim(n, i, version)
+            elif holder is None or not self.nodes[int(holder[1])].up:
+                since = self.orphan.setdefault(i, self.now)
+                if i == n.index or self.now - since > 3.0:
+                    self.claim(n, i, version)
+            elif i == n.index and self.rng.random() < 0.003:
+                self.claim(n, i, version)  # as if its holder's lease had ended: it is deposed unawares
+
+    def claim(self, n: Node, shard: int, version: int) -> None:
+        rev, failed = self.store.txn({f"{SHARD}{shard}": version}, {f"{SHARD}{shard}": {"node": n.name}}, [])
+        if not failed:
+            self.orphan.pop(shard, None)
+            n.take(shard, rev)
+
+    def write(self, node: Node, h: Held, txn: Any) -> None:
+        fate = self.rng.random()
+        lives = node.lives
+
+        def outcome(rev: int, failed: list[str], unknown: bool) -> None:
+            if node.lives != lives or node.held.get(h.shard) is not h:
+                return
+            h.busy = False
+            if unknown:
+                for t in h.source.teams_of(txn):
+                    h.source.install_cell(t, self.store.read(cell_prefix(t)), self.now)
+            elif failed:
+                if f"{SHARD}{h.shard}" in failed:
+                    del node.held[h.shard]
+                    node.outbox.drop(("s", "o"), h.shard)
+                    return
+                for t in h.source.refused(txn, failed):
+                    h.source.install_cell(t, self.store.read(cell_prefix(t)), self.now)
+            else:
+                h.source.landed(txn, rev, self.now)
+
+        def apply(answer: bool) -> None:
+            rev, failed = self.store.txn(txn.guards, _copy(txn.puts), list(txn.deletes), self.txn_ops)
+            if not failed:
+                for k in txn.puts:
+                    if k.startswith(END):
+                        self.check_done(k[len(END) :])
+            if answer:
+                self.later(self.delay(), outcome, rev, failed, False)
+
+        if fate < 0.85 or self.chaos <= 0:
+            self.later(self.delay(), apply, True)
+        elif fate < 0.95:  # executed late or at once, and the answer is lost
+            self.later(self.rng.choice([0.0, 0.5, 5.0, 30.0]), apply, False)
+            self.later(1.0, outcome, 0, [], True)
+        else:
+            self.later(1.0, outcome, 0, [], True)
+
+    def report(self, w: Worker) -> None:
+        if w.dead:
+            return
+        self.later(REPORT * (0.75 + 0.5 * self.rng.random()), self.report, w)
+        if self.now < w.hung_until:
+            return
+        node = self.nodes[w.home]
+        body, sent, session = w.report(), self.now, w.session
+        if not node.up or self.cut(node, w):
+            w.home = (w.home + 1) % len(self.nodes)
+            if self.rng.random() < 0.3:  # held back, delivered late
+                self.later(self.rng.choice([3.0, 12.0, 25.0]), self.answer, node, w, body, sent, session, True)
+            return
+        self.answer(node, w, body, sent, session, False)
+
+    def answer(self, node: Node, w: Worker, body: dict[str, Any], sent: float, session: int, late: bool) -> None:
+        if not node.up:
+            return
+        r = workers.parse(body)
+        h = node.held.get(self.layout.part(r.zone, r.machine))
+        m = h.owner.on_report(r, self.now) if h is not None else None
+        if h is None or m is None:
+            if not late:
+                holder = node.replica.holder(self.layout.part(r.zone, r.machine))[0]
+                w.home = int(holder[1]) if holder and holder != node.name else (w.home + 1) % len(self.nodes)
+            return
+        reply = _copy(workers.answer(m.token, h.owner.commands(m, self.now)))
+        m.last_answer = self.now
+        if not late and not w.dead and self.now >= w.hung_until and not (self.chaos > 0 and self.rng.random() < 0.03):
+            w.on_answer(reply, sent, session)
+
+    def direct(self, node: Node, h: Held, m: Any, body: dict[str, Any]) -> None:
+        w = self.workers[m.name]
+        lives = node.lives
+        fate = self.rng.random() if self.chaos > 0 else 0.0
+
+        def done(report: dict[str, Any] | None) -> None:
+            if node.lives == lives and node.held.get(h.shard) is h:
+                h.owner.direct_done(m, workers.parse(report) if report else None, self.now)
+
+        def arrive(answer: bool) -> None:
+            if w.dead:
+                return
+            if self.now < w.hung_until:
+                self.later(w.hung_until - self.now + 0.01, arrive, False)
+                return
+            report = w.on_do(body)
+            if answer:
+                self.later(self.delay(), done, report)
+
+        if self.cut(node, w) or fate > 0.9 or self.now < w.hung_until:
+            self.later(self.rng.choice([0.2, 4.0, 15.0, 40.0]), arrive, False)  # held back, executed late
+            self.later(1.5, done, None)
+        else:
+            self.later(self.delay(), arrive, True)
+
+    # -- gangs ---------------------------------------------------------------------------------
+
+    def gangs(self) -> None:
+        groups: dict[tuple[str, int], list[tuple[Worker, workers.Key, dict[str, Any]]]] = {}
+        for w in self.workers.values():
+            for k, t in w.tasks.items():
+                if self.specs[k[0]].kind == "gang" and t["state"] in ("waiting", "running"):
+                    groups.setdefault((k[0], k[2]), []).append((w, k, t))
+        for (job, _), members in groups.items():
+            n = self.specs[job].n
+            if len(members) == n and all(t["state"] == "waiting" for _, _, t in members):
+                for _, _, t in members:
+                    t.update(state="running", until=self.now + self.specs[job].estimate_s, lost=None)
+            for w, _, t in members:
+                if self.now < w.hung_until:
+                    continue
+                if t["state"] == "waiting" and self.now - t["since"] > GANG_WAIT:
+                    t.update(state="ended", why="alone")
+                elif t["state"] == "running" and len(members) < n:
+                    t["lost"] = t.get("lost") or self.now
+                    if self.now - t["lost"] > GANG_PEER:
+                        t.update(state="ended", why="peers")
+                elif t["state"] == "running" and self.now >= t["until"]:
+                    for _, k2, t2 in members:
+                        t2.update(state="ended", why="done")
+                        self.results.add(k2[:2])
+                    break
+
+    # -- users and rules -----------------------------------------------------------------------
+
+    def submit(self, job: Job) -> None:
+        self.specs[job.id] = job
+        self.store.txn({JOB + job.id: 0, END + job.id: 0}, {JOB + job.id: job.record()}, [])
+
+    def withdraw(self, jid: str) -> None:
+        version = self.store.kv.get(JOB + jid, (None, 0))[1]
+        if version:
+            self.store.txn({JOB + jid: version}, {END + jid: {"s": "withdrawn"}}, [JOB + jid])
+            self.cancelled[jid] = self.now
+
+    def check_done(self, jid: str) -> None:
+        if any((jid, i) not in self.results for i in range(self.specs[jid].n)):
+            raise Broken(f"not_done: {jid} at {self.now}")
+
+    def started(self, w: Worker, key: workers.Key) -> None:
+        """A task is on its machine from now on."""
+        self.starts += 1
+        job = self.specs[key[0]]
+        zones: dict[str, int] = {}
+        for other in self.workers.values():
+            for k in other.on_machine():
+                if k[:2] == key[:2] and other is not w:
+                    raise Broken(f"ran_twice: {key} on {w.name} while {k} is on {other.name} at {self.now}")
+                if k[0] == key[0]:
+                    zones[other.zone] = zones.get(other.zone, 0) + 1
+        if (w.spot and not job.spot) or (job.zone and job.zone != w.zone) or (job.one_zone and len(zones) > 1):
+            raise Broken(f"wrong_place: {key} on {w.name}")
+        if job.spread and zones[w.zone] > job.zone_cap:
+            raise Broken(f"wrong_place: {key} on {w.name}: {zones}")
+
+    def judge(self) -> None:
+        used: dict[str, float] = {}
+        for w in self.workers.values():
+            if w.dead:
+                continue
+            for k in w.on_machine():
+                job = self.specs[k[0]]
+                used[job.team] = used.get(job.team, 0.0) + job.gpus
+                if k[0] in self.cancelled and self.now - self.cancelled[k[0]] > CANCEL and self.now >= w.hung_until + LEASE:
+                    raise Broken(f"ran_cancelled: {k} on {w.name} at {self.now}")
+        for team, gpus in used.items():
+            if gpus > self.teams[team].gpus_max + 1e-6:
+                raise Broken(f"quota: {team} uses {gpus} at {self.now}")
+
+
+def job(rng: Random, jid: str, at: float) -> Job:
+    """A job of any kind."""
+    kind = rng.choice(["array", "array", "gang", "service"])
+    n = rng.choice([1, 2, 5, 9]) if kind == "array" else rng.choice([1, 2, 3])
+    one_zone = kind == "gang" and rng.random() < 0.5
+    return Job(
+        id=jid, klass=kind, team=f"team-{rng.randrange(4)}", kind=kind, rank=rng.randrange(4), n=n, cpus=2.0,
+        gpus=rng.choice([1.0, 2.0]), mem=8.0, image=f"i{rng.randrange(3)}", image_gb=2.0, types=None, zone=None,
+        one_zone=one_zone, spread=kind == "service" and rng.random() < 0.5, spot=kind == "array",
+        estimate_s=rng.choice([2.0, 8.0, 20.0]), checkpoint_s=0.0, save_s=0.0, deadline_s=None, at=at,
+    )  # fmt: skip
