Owner stops cancelled work it finds without its source; isolated owners fall silent

The owner's own copy of the store is enough to stop it. A controller cut from state and peers stops answering workers in time for their leases to end within cancel_s; gossip of a newer holder deposes it.

--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -50,6 +50,8 @@
     refused: bool = False
     gone: bool = False
     victims: tuple[Key, ...] = ()
+    ran_at: float | None = None  # when it was first seen running
+    evict: bool = False  # a gang's task whose room is needed: its source stops the whole gang in order
 
 
 @dataclass(slots=True)
@@ -97,6 +99,18 @@
     victims: tuple[Key, ...] = ()
 
 
+@dataclass(slots=True)
+class Info:
+    """What is known of a job with tasks here: what stopping one of them would mean."""
+
+    rank: int
+    within: bool  # of its team's guarantee
+    team: str
+    kind: str
+    checkpoint_s: float
+    save_s: float
+
+
 @dataclass(slots=True)
 class Want:
     """What a source wants placed: a candidate for each waiting task of a job."""
@@ -107,7 +121,7 @@
     zones: dict[str, int] | None
     order: tuple[float, ...]
     avoid: frozenset[str]
-    team_over: bool = False
+    within: bool
 
 
 class Owner:
@@ -125,7 +139,7 @@
         self.permits: dict[Key, Permit] = {}
         self.by_job: dict[str, dict[Key, Permit]] = {}
         self.tickets: dict[str, dict[int, Ticket]] = {}
-        self.info: dict[str, tuple[int, float, int, float]] = {}  # job -> source, save_s, rank, checkpoint_s
+        self.info: dict[str, Info] = {}
         self.synced: set[int] = set()
         self.drain: set[str] = set()
         self.proven_gone: set[str] = set()
@@ -133,8 +147,8 @@
         self.dirty_jobs: set[str] = set()
         self.dirty = True
         self.deposed_by = 0
+        self.job_over: Callable[[str], bool] = lambda jid: False  # by this node's own copy of the store
         self.job_vec: Callable[[str], Vec | None] = lambda jid: None
-        self.job_over: Callable[[str], bool] = lambda jid: False
 
     # -- what sources want -------------------------------------------------------------------
 
@@ -155,6 +169,8 @@
         old = self.by_job.get(jid, {})
         keep: set[Key] = set()
         job = from_record(state["j"]) if state and state.get("j") else None
+        if job is not None and state is not None:
+            self.info[jid] = Info(job.rank, state["o"][1] == 0, job.team, job.kind, job.checkpoint_s, job.save_s)
         if state:
             vec: Vec = (state["v"][0], state["v"][1], state["v"][2])
             for task, attempt, machine, epoch, ticket, stop in state["p"]:
@@ -164,6 +180,8 @@
                 if p is None:
                     p = Permit(key, src, machine, epoch, ticket, vec, job.image if job else "", job.image_gb if job else 0.0)
                     self._admit(p, stop, now)
+                    if self.job_over(jid):
+                        p.stop = 0.0  # it was over before this owner heard of the permit
                 if stop is not None and (p.stop is None or stop < p.stop or not state.get("j")):
                     p.stop = stop if p.stop is None else min(stop, p.stop)
         for key in [k for k in old if k not in keep]:
@@ -174,8 +192,11 @@
                 m.permits.pop(key, None)
         if jid in self.by_job and not self.by_job[jid]:
             del self.by_job[jid]
+        if not state:
+            self.info.pop(jid, None)
         if state and job is not None and state["w"] > 0:
-            self.wants[jid] = Want(src, job, state["w"], state.get("z"), tuple(state["o"]), frozenset(state.get("x", ())))
+            self.wants[jid] = Want(src, job, state["w"], state.get("z"), tuple(state["o"]), frozenset(state.get("x", ())),
+                                   state["o"][1] == 0)
         else:
             self.wants.pop(jid, None)
         self._trim(jid)
@@ -208,7 +229,6 @@
         m = self.machines.get(p.machine)
         ticket = self.tickets.get(p.key[0], {}).get(p.ticket) if p.epoch == self.epoch else None
         if ticket is not None:
-            p.victims = ticket.victims
             self._free(ticket)
         if p.epoch == self.epoch and (
             m is None or m.expired or self._unusable(m, now) or stop is not None
@@ -216,8 +236,24 @@
         ):  # fmt: skip
             p.refused = True
         if m is not None:
+            if ticket is not None and not p.refused:
+                self._evict(p, ticket, m)
             m.permits[p.key] = p
 
+    def _evict(self, p: Permit, ticket: Ticket, m: Machine) -> None:
+        """Room was ready only by preemption: stop what is in the way, now that the start is permitted."""
+        p.victims = ticket.victims
+        for key in ticket.victims:
+            v = m.permits.get(key)
+            info = self.info.get(key[0])
+            if v is None or v.gone or info is None:
+                continue
+            if info.kind == "gang":
+                v.evict = True
+            elif v.stop is None:
+                v.stop = info.save_s + 1.0 if info.checkpoint_s > 0 else 0.0
+            self.dirty_jobs.add(key[0])
+
     def job_ended(self, jid: str) -> None:
         """The state service says the job is over: stop what is here even if the source can't be heard."""
         for p in self.by_job.get(jid, {}).values():
@@ -260,6 +296,8 @@
             old = m.tasks.get(key)
             if old is None or old != t:
                 self.dirty_jobs.add(key[0])
+                if t.state == "running" and key in m.permits and m.permits[key].ran_at is None:
+                    m.permits[key].ran_at = now
                 if t.state == EXITED and t.why == "error" and (old is None or old.state != EXITED):
                     self._fault(m, key[0], now)
         for key in m.tasks:
@@ -401,6 +439,7 @@
                     and (w.zones is None or by_zone.get(m.zone, 0) < w.zones.get(m.zone, 0))
                 ]  # fmt: skip
                 if not open_:
+                    missing -= self._preempt(jid, w, can, rooms, by_zone, missing, now)
                     break
                 if len(open_) > self.sample:
                     open_ = self.rng.sample(open_, self.sample)
@@ -414,6 +453,74 @@
                 self.dirty_jobs.add(jid)
                 missing -= 1
 
+    def firm_room(self, m: Machine) -> Vec:
+        """What services could have: the room of work that may be stopped for them counts as free."""
+        room = self.room(m)
+        for key, p in m.permits.items():
+            info = self.info.get(key[0])
+            t = m.tasks.get(key)
+            if info is not None and info.rank > 0 and info.kind == "array" and not p.gone and not p.refused and (
+                t is None or t.state != EXITED
+            ):
+                room = add(room, p.vec)
+        return room
+
+    def _loss(self, p: Permit, info: Info, now: float) -> float:
+        """Seconds of work lost if it is stopped."""
+        ran = now - p.ran_at if p.ran_at is not None else 0.0
+        return min(ran, info.save_s + 1.0) if info.checkpoint_s > 0 else ran
+
+    def _may_stop(self, w: Want, info: Info) -> bool:
+        """The published rules of preemption."""
+        return info.rank > w.job.rank or (w.within and not info.within and info.team != w.job.team)
+
+    def _preempt(self, jid: str, w: Want, can: list[Machine], rooms: dict[str, Vec], by_zone: dict[str, int],
+                 missing: int, now: float) -> int:
+        """Room ready only by stopping less important work: the least lost work first, and only where it is enough."""
+        taken: set[Key] = {v for held in self.tickets.values() for t in held.values() for v in t.victims}
+        taken |= {v for p in self.permits.values() if not p.gone for v in p.victims}
+        found = 0
+        while found < missing:
+            best: tuple[float, Machine, list[Permit]] | None = None
+            for m in can:
+                if w.zones is not None and by_zone.get(m.zone, 0) >= w.zones.get(m.zone, 0):
+                    continue
+                options = []
+                for key, p in m.permits.items():
+                    info = self.info.get(key[0])
+                    if info is None or key in taken or p.gone or p.refused or p.stop is not None or p.evict:
+                        continue
+                    if self._may_stop(w, info) and key in m.tasks and m.tasks[key].state in ("running", "fetching"):
+                        options.append((self._loss(p, info, now) + (1000.0 if info.kind == "gang" else 0.0), key, p))
+                room, chosen, loss = rooms[m.name], [], 0.0
+                for cost, _, p in sorted(options, key=lambda x: x[:2]):
+                    if fits(w.job.vec, room):
+                        break
+                    room = add(room, p.vec)
+                    chosen.append(p)
+                    loss += cost
+                if chosen and fits(w.job.vec, room):
+                    loss += 0.3 * self._score(w.job, m, room)[0]
+                    if best is None or loss < best[0]:
+                        best = (loss, m, chosen)
+            if best is None:
+                break
+            _, m, chosen = best
+            victims = tuple(p.key for p in chosen)
+            taken.update(victims)
+            t = Ticket(self.next_ticket, jid, m.name, now + self.hold_s, w.job.vec, w.job.image, best[0], victims)
+            self.next_ticket += 1
+            m.tickets[t.id] = t
+            self.tickets.setdefault(jid, {})[t.id] = t
+            room = rooms[m.name]
+            for p in chosen:
+                room = add(room, p.vec)
+            rooms[m.name] = add(room, w.job.vec, -1)
+            by_zone[m.zone] = by_zone.get(m.zone, 0) + 1
+            self.dirty_jobs.add(jid)
+            found += 1
+        return found
+
     def _score(self, job: Job, m: Machine, room: Vec) -> tuple[float, float]:
         """Best fit: seconds until it could run, then the room left over; replicas of one job keep apart."""
         kind = self.types[m.type]
@@ -424,13 +531,17 @@
             fetch = job.image_gb / max(kind.fetch_gb_s, 0.01) * (0.5 if coming else 0.8 if held else 1.0)
         same = 0
         if job.kind == "service":
+            # services stay long: pack them by what other services leave, so that whole machines fall empty
+            room = self.firm_room(m)
             same = sum(1 for k, p in m.permits.items() if k[0] == job.id and not p.gone)
             same += sum(1 for t in m.tickets.values() if t.job == job.id)
         left = add(room, job.vec, -1)
         share = sum(x / c for x, c in zip(left, kind.vec, strict=True) if c > 0)
         if job.spot and not m.spot:
-            share += 1.0  # leave ordinary machines to work that needs them
-        return fetch + 30.0 * same, share
+            fetch += 20.0  # leave ordinary machines to work that needs them
+        if job.kind == "service":
+            return fetch + 30.0 * same + 4.0 * share, share
+        return fetch, share
 
     # -- commands ----------------------------------------------------------------------------
 
@@ -462,7 +573,13 @@
                 m.token = p.run_token + 1
         if not direct:
             for key, t in m.tasks.items():
-                if key in m.permits or len(self.synced) < self.sources:
+                if key in m.permits:
+                    continue
+                if len(self.synced) < self.sources:
+                    # its source has not been heard yet; but a job that is over needs no source to be stopped:
+                    # seen when an owner that had just taken over was cut from the source of a cancelled job
+                    if t.state != EXITED and self.job_over(key[0]):
+                        out.append(workers.kill(key, 0.0))
                     continue
                 if t.state != EXITED:
                     out.append(workers.kill(key, 0.0))  # nobody has permitted it
@@ -519,7 +636,7 @@
             at = self.machines.get(p.machine)
             task = at.tasks.get(p.key) if at is not None else None
             if task is not None and not p.gone:
-                tasks.append([p.key[1], p.key[2], task.state, task.why, int(task.saved), int(at is not None and at.notice_s is not None)])
+                tasks.append([p.key[1], p.key[2], task.state, task.why, int(task.saved), _flag(p, at)])
             else:
                 tasks.append([p.key[1], p.key[2], "gone" if p.gone else "permitted", "", 0, 0])
         return srcs, ({"o": offers, "t": tasks} if offers or tasks else None)
@@ -542,9 +659,10 @@
             if m.expired:
                 continue
             empty = not m.tasks and not m.tickets and all(p.gone for p in m.permits.values()) and not m.busy
+            firm = any(i is not None and i.rank == 0 for i in (self.info.get(k[0]) for k in m.permits))
             out[m.name] = [
                 m.type, m.zone, int(m.spot), [round(x, 3) for x in self.room(m)], int(empty), int(m.draining),
-                int(m.notice_s is not None), int(m.faulty_until > now), int(bool(m.tasks or m.permits)),
+                int(m.notice_s is not None), int(m.faulty_until > now), int(firm), [round(x, 3) for x in self.firm_room(m)],
             ]  # fmt: skip
         return out
 
@@ -558,3 +676,8 @@
                 if m.name in new and not m.draining:
                     m.draining = True
                     self.dirty = True
+
+
+def _flag(p: Permit, m: Machine | None) -> int:
+    """1: the machine is to be taken away; 2: the room is needed for more important work."""
+    return 1 if m is not None and m.notice_s is not None else 2 if p.evict else 0
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -65,7 +66,8 @@
         self.gone: dict[str, float] = {}
         self.lists = 0  # complete lists taken since this renter began
         self.pleas = 0
-        self.faulty: set[str] = set()
+        self.arrivals: dict[str, tuple[float, Job]] = {}  # jobs of the last minutes, for the spare room
+        self.wall = 0.0
 
     def plea(self) -> str:
         """A request name, used once."""
@@ -102,6 +104,12 @@
             else:
                 m.idle_since = None
 
+    def on_job(self, job: Job, now: float) -> None:
+        """A job was accepted: what comes often needs room that is ready."""
+        self.arrivals[job.id] = (now, job)
+        while len(self.arrivals) > 500:
+            del self.arrivals[next(iter(self.arrivals))]
+
     def on_rented(self, names: list[str], kind: Kind, asked: int, now: float) -> None:
         """The cloud's answer to a request."""
         for name in names:
@@ -137,7 +145,6 @@
         for name, since in list(self.suspects.items()):
             if name not in seen and asked_at - since > old:
                 self.on_gone([name], now)
-                del self.suspects[name]
 
     def on_gone(self, names: list[str], now: float) -> None:
         """These machines are gone for certain."""
@@ -150,9 +157,10 @@
 
     # -- decisions ---------------------------------------------------------------------------
 
-    def plan(self, now: float) -> Plan:
+    def plan(self, now: float, wall: float) -> Plan:
         """The difference between what is wanted and what is."""
         out = Plan()
+        self.wall = wall
         self._returns(now, out)
         if self.lists and self.types:
             self._rents(now, out)
@@ -173,14 +181,16 @@
                 out.give_back.append(m.name)  # drained
             elif m.view is not None and m.view[7]:
                 m.drain = True  # faulty: used up, then replaced
-        spare = self._spare_needed()
-        idle = [
+        spare = self._spare_needed(now)
+        needed = any(self._urgent(from_record(v[0])) for state in self.demand.values() for v in state.values())
+        out_of_use = [
             m for m in self.machines.values()
-            if m.idle_since is not None and now - m.idle_since > self.idle_s and not m.drain and not m.returning
+            if m.view is not None and not m.drain and not m.returning and now - m.since > 60.0
+            and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view[8] and not needed))
         ]  # fmt: skip
-        for m in sorted(idle, key=lambda m: (-self._price(m.kind), m.idle_since or 0.0)):
-            left = self._free_room(now, but=m.name)
-            if m.kind[2] or left >= spare:
+        for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), m.since)):
+            # an ordinary machine that only runs work that could be on cheap ones is let go when that ends
+            if m.kind[2] or self._free_room(now, but=m.name) >= spare:
                 m.drain = True
 
     def _price(self, kind: Kind) -> float:
@@ -190,12 +200,27 @@
     def _share(self, vec: Vec, kind: MachineType) -> float:
         return max((x / c for x, c in zip(vec, kind.vec, strict=True) if c > 0), default=0.0)
 
-    def _spare_needed(self) -> float:
-        """Machines' worth of ordinary room to keep for services that will be submitted."""
+    def _spare_needed(self, now: float) -> float:
+        """Machines' worth of ordinary room to keep ready: what usually comes while a machine boots, and some more."""
+        since = max(self.started, now - 300.0)
+        span = max(60.0, now - since)
+        total = peak = 0.0
+        boot = 30.0
+        for at, job in self.arrivals.values():
+            kinds = [t for t in self.types.values() if fits(job.vec, t.vec)]
+            if at < since or job.spot or not kinds:
+                continue
+            kind = min(kinds, key=lambda t: t.price)
+            boot = max(boot, kind.boot_s)
+            per = self._share(job.vec, kind)
+            total += per * job.n
+            peak = max(peak, per * min(job.n, 2))
+        mean = total / span * (boot + 15.0)
         ordinary = sum(1 for m in self.machines.values() if not m.kind[2] and m.view is not None)
-        return max(1.0, self.spare_share * ordinary)
+        return max(0.5, peak, mean + 0.7 * math.sqrt(mean), self.spare_share * ordinary)
 
     def _free_room(self, now: float, but: str = "") -> float:
+        """Machines' worth of ordinary room, with what services may take from others."""
         total = 0.0
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
@@ -204,10 +229,15 @@
             if m.view is None:
                 total += 1.0 if self._coming(m, now) else 0.0
             elif not m.view[5] and not m.view[6] and not m.view[7]:
-                v = m.view[3]
-                total += min((x / c for x, c in zip(v, t.vec, strict=True) if c > 0), default=0.0)
+                total += min((x / c for x, c in zip(m.view[9], t.vec, strict=True) if c > 0), default=0.0)
         return total
 
+    def _urgent(self, job: Job) -> bool:
+        """Whether work that may use cheap machines can't wait for one: its deadline would be missed."""
+        if job.deadline_s is None:
+            return self.wall - job.at > 120.0
+        return self.wall + 1.3 * job.estimate_s + 60.0 > job.at + job.deadline_s
+
     def _coming(self, m: Rented, now: float) -> bool:
         t = self.types.get(m.kind[0])
         boot = t.boot_s if t else 60.0
@@ -216,6 +246,7 @@
 
     def _rents(self, now: float, out: Plan) -> None:
         bins: list[tuple[Kind, list[float]]] = []
+        firm: list[tuple[Kind, list[float]]] = []
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
             if t is None or m.drain or m.returning:
@@ -223,14 +254,21 @@
             if m.view is not None:
                 if not (m.view[5] or m.view[6] or m.view[7]):
                     bins.append((m.kind, list(m.view[3])))
+                    firm.append((m.kind, list(m.view[9])))
             elif self._coming(m, now):
-                bins.append((m.kind, list(t.vec)))
+                room = list(t.vec)
+                bins.append((m.kind, room))
+                firm.append((m.kind, room))  # the same room, whoever takes it
         new: dict[Kind, int] = {}
         items = [(v[3], from_record(v[0]), v[1], v[2]) for state in self.demand.values() for v in state.values()]
         for _, job, n, zones in sorted(items, key=lambda x: x[0]):
-            self._fill(job, n, dict(zones) if zones is not None else None, bins, new, now)
-        free = sum(self._bin_share(k, b) for k, b in bins if not k[2])
-        spare = self._spare_needed()
+            zones = dict(zones) if zones is not None else None
+            mine, other = (firm, bins) if job.rank == 0 else (bins, firm)
+            before = len(mine)
+            self._fill(job, n, zones, mine, new, now)
+            other += mine[before:]
+        free = sum(max(0.0, self._bin_share(k, b)) for k, b in firm if not k[2])
+        spare = self._spare_needed(now)
         tries = 0
         while free < spare - 0.5 and tries < 10 and any(m.view is not None for m in self.machines.values()):
             tries += 1
@@ -292,7 +330,7 @@
             for z in t.zones:
                 if (job.zone is not None and z != job.zone) or (zones is not None and zones.get(z, 0) <= 0):
                     continue
-                for spot in (True, False) if job.spot else (False,):
+                for spot in (True, False) if job.spot and self._urgent(job) else (job.spot,):
                     if self._paused((t.name, z, spot), now):
                         continue
                     price = (t.spot_price if spot else t.price) * per
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -42,7 +42,7 @@
     state: str = "permitted"
     why: str = ""
     saved: bool = False
-    notice: bool = False
+    notice: int = 0  # 1: its machine goes, 2: its room is needed
     stop: float | None = None
     over: bool = False  # exited and recorded here, or proven gone: to be taken out of the cell
     since: float = 0.0
@@ -125,7 +125,7 @@
         return None
 
     def put_back(self, task: int) -> None:
-        """A task waits again."""
+        """A task that had a start waits again."""
         if task < self.fresh:
             heapq.heappush(self.again, task)
 
@@ -286,16 +286,18 @@
             for task, attempt, state, why, saved, notice in view["t"]:
                 e = js.entries.get(task)
                 if e is not None and e.attempt == attempt and e.part == part and e.landed and epoch >= e.epoch:
-                    self._status(js, e, state, why, bool(saved), bool(notice), now)
+                    self._status(js, e, state, why, bool(saved), int(notice), now)
         self.dirty = True
 
-    def _status(self, js: JobState, e: Entry, state: str, why: str, saved: bool, notice: bool, now: float) -> None:
+    def _status(self, js: JobState, e: Entry, state: str, why: str, saved: bool, notice: int, now: float) -> None:
         if e.over or (state == e.state and why == e.why and notice == e.notice):
             return
         self.note("task", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, state=state, why=why or "-")
         e.state, e.why, e.saved, e.notice = state, why, saved, notice
         self.changed.add(js.id)
         if state not in ("exited", "gone"):
+            if notice and js.job is not None:
+                self._leave(js, e, notice)
             return
         e.over = True
         self.dirty_chunks[js.team].add(e.chunk)
@@ -317,6 +319,19 @@
                 if not other.over and other.stop is None:
                     other.stop = 0.0
 
+    def _leave(self, js: JobState, e: Entry, notice: int) -> None:
+        """Its machine goes away or its room is needed: save what can be saved, a gang's tasks all together."""
+        job = js.job
+        assert job is not None
+        grace = job.save_s + 1.0 if job.checkpoint_s > 0 else 0.0
+        if job.kind == "gang":
+            for other in js.entries.values():
+                if not other.over and other.stop is None:
+                    other.stop = grace
+        elif e.stop is None and (notice == 2 or grace > 0 or job.kind == "service"):
+            e.stop = grace
+        self.changed.add(js.id)
+
     def _failed(self, js: JobState, e: Entry, why: str, now: float) -> None:
         js.failures += 1
         js.last_failure = f"{why} on {e.machine}"
@@ -401,6 +416,8 @@
                 (o for o in js.offers.values() if (o.part, o.ticket, o.epoch) not in taken and o.machine not in js.failed_on),
                 key=lambda o: (o.victims, o.cost, o.ticket),
             )
+            if now - js.since < 0.3:
+                offers = [o for o in offers if not o.victims]  # room ready only by preemption is the worse answer: let others speak
             chosen = self._gang(js, offers) if js.job.kind == "gang" else offers  # type: ignore[union-attr]
             attempt = self._attempt()
             new: list[Entry] = []
--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -211,6 +211,7 @@
         owner = Owner(shard, epoch, len(self.layout.nodes), s.lease_s, s.report_s, s.options.hold_s, s.options.sample, self.rng, now)
         owner.types = self.types or {}
         owner.job_vec = self.job_vec
+        owner.job_over = self.replica.ended.__contains__
         held = Held(shard, epoch, owner)
         self.held[shard] = held
         log.info("shard taken", shard=shard, epoch=epoch)
@@ -329,7 +330,7 @@
             try:
                 if not self.replica.ready or self.replica.rev == 0:
                     await self._load()
-                answer = await self.store.watch(PREFIX, self.replica.rev, 10_000)
+                answer = await self.store.watch(PREFIX, self.replica.rev, 5_000)
             except Refused:
                 await anyio.sleep(0.2)
                 continue
@@ -368,6 +369,8 @@
         for jid in changed:
             known = r.live.get(jid)
             if known is not None:
+                if self.renter is not None and jid not in self.renter.arrivals:
+                    self.renter.on_job(known[0], now)
                 held = self.held.get(self.layout.team_shard.get(known[0].team, -1))
                 if held is not None and held.source is not None:
                     held.source.on_job(known[0], jid, known[1], now)
@@ -444,6 +447,10 @@
             if message[0] == "n":
                 news = message[5]
                 self.peer_news[node] = (time.monotonic(), float(news["age"]), dict(news["held"]))
+                for shard, epoch in news["held"].items():
+                    held = self.held.get(shard)
+                    if held is not None and epoch > held.epoch:
+                        self.lose(shard, f"{node} holds it")  # the state service may not be reached from here
             elif self.inbox.take(message):
                 self.dispatch(message)
         self.poke()
@@ -608,7 +615,7 @@
                     await self._list(renter, now)
                 if now - last_plan > 1.0:
                     last_plan = now
-                    plan = renter.plan(now)
+                    plan = renter.plan(now, time.time())
                     if not pending:
                         pending = [(renter.plea(), r) for r in plan.rent]
                     for i in range(0, len(plan.give_back), 100):
@@ -644,6 +651,8 @@
         self.renter = Renter(epoch, s.options.idle_return_s, s.options.spare_share, s.list_lag_s, s.lease_s, now)
         self.renter.types = self.types or {}
         self.renter_orphan = 0.0
+        for job, _ in self.replica.live.values():
+            self.renter.on_job(job, now - max(0.0, time.time() - job.at))
         log.info("renter", epoch=epoch)
         for (kind, src, dst), (e, state) in list(self.inbox.boards.items()):
             if dst == boards.RENTER:
@@ -720,6 +729,18 @@
         others = [age + now - heard for heard, age, _ in self.peer_news.values() if now - heard < 3]
         return mine < 2.5 or not any(age < 1.5 for age in others)
 
+    def isolated(self, now: float) -> bool:
+        """Whether others may have taken over and answered cancellations without this node hearing of it.
+
+        Then it must stop answering workers early enough for their leases to run out within the time
+        a cancellation has. In an outage that every controller confirms, nobody can cancel: go on.
+        """
+        s = self.settings
+        if now - self.store.last_ok < max(1.0, s.cancel_s - s.lease_s - 8.0):
+            return False
+        heard = sum(1 for at, _, _ in self.peer_news.values() if now - at < 3.0)
+        return heard < len(s.peers)
+
     def report(self, q: Request) -> Reply:
         """A worker's report."""
         try:
@@ -732,6 +753,8 @@
             node = self.holder(part)
             return Reply(421, workers.homing(node if node != self.settings.name else None))
         now = time.monotonic()
+        if self.isolated(now):
+            return Reply(421, {})
         m = held.owner.on_report(r, now)
         if m is None:
             log.info("deposed", shard=part, epoch=held.epoch, by=held.owner.deposed_by)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -33,7 +33,7 @@
 
 
 def board(stop: float | None = None, epoch: int = EPOCH, ticket: int = 0, want: int = 0) -> dict[str, Any]:
-    return {"j": RECORD, "v": [2.0, 1.0, 8.0], "w": want, "o": [1.0], "p": [[0, 5, "n-1", epoch, ticket, stop]], "c": [0, 0]}
+    return {"j": RECORD, "v": [2.0, 1.0, 8.0], "w": want, "o": [1.0, 0.0, 2.0, 0.0], "p": [[0, 5, "n-1", epoch, ticket, stop]], "c": [0, 0]}
 
 
 def state(o: Owner) -> str:
--- a/tests/world.py
+++ b/tests/world.py
@@ -152,6 +152,7 @@
         self.owner = Owner(shard, epoch, len(w.nodes), LEASE, REPORT, 5.0, 5, w.rng, w.now)
         self.owner.types = {"t": TYPE}
         self.owner.job_vec = lambda jid: node.replica.live[jid][0].vec if jid in node.replica.live else None
+        self.owner.job_over = node.replica.ended.__contains__
         teams = [w.teams[t] for t in w.layout.teams(shard)]
         # the cells are read after the claim: from here on no earlier holder can write them
         self.source = Source(shard, epoch, teams, ("a", "b"), w.value_bytes, w.txn_ops)
