--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -109,6 +109,7 @@
     kind: str
     checkpoint_s: float
     save_s: float
+    spot: bool  # could be on a cheap machine
 
 
 @dataclass(slots=True)
@@ -170,7 +171,7 @@
         keep: set[Key] = set()
         job = from_record(state["j"]) if state and state.get("j") else None
         if job is not None and state is not None:
-            self.info[jid] = Info(job.rank, state["o"][1] == 0, job.team, job.kind, job.checkpoint_s, job.save_s)
+            self.info[jid] = Info(job.rank, state["o"][1] == 0, job.team, job.kind, job.checkpoint_s, job.save_s, job.spot)
         if state:
             vec: Vec = (state["v"][0], state["v"][1], state["v"][2])
             for task, attempt, machine, epoch, ticket, stop in state["p"]:
@@ -459,7 +460,7 @@
         for key, p in m.permits.items():
             info = self.info.get(key[0])
             t = m.tasks.get(key)
-            if info is not None and info.rank > 0 and info.kind == "array" and not p.gone and not p.refused and (
+            if info is not None and info.rank > 0 and info.spot and info.kind == "array" and not p.gone and not p.refused and (
                 t is None or t.state != EXITED
             ):
                 room = add(room, p.vec)
@@ -472,7 +473,12 @@
 
     def _may_stop(self, w: Want, info: Info) -> bool:
         """The published rules of preemption."""
-        return info.rank > w.job.rank or (w.within and not info.within and info.team != w.job.team)
+        if info.rank == 0 or info.kind == "service":
+            return False  # allowed beyond a guarantee, but a replica's user feels it at once
+        if info.rank > w.job.rank:
+            return True
+        # to give a team its guarantee: only where little is lost, not a whole gang
+        return w.within and not info.within and info.team != w.job.team and info.kind == "array"
 
     def _preempt(self, jid: str, w: Want, can: list[Machine], rooms: dict[str, Vec], by_zone: dict[str, int],
                  missing: int, now: float) -> int:
@@ -659,7 +665,7 @@
             if m.expired:
                 continue
             empty = not m.tasks and not m.tickets and all(p.gone for p in m.permits.values()) and not m.busy
-            firm = any(i is not None and i.rank == 0 for i in (self.info.get(k[0]) for k in m.permits))
+            firm = any(i is not None and not i.spot for i in (self.info.get(k[0]) for k in m.permits))
             out[m.name] = [
                 m.type, m.zone, int(m.spot), [round(x, 3) for x in self.room(m)], int(empty), int(m.draining),
                 int(m.notice_s is not None), int(m.faulty_until > now), int(firm), [round(x, 3) for x in self.firm_room(m)],
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -14,6 +14,7 @@
 from ploverhall.protocol.jobs import Job, from_record
 
 Kind = tuple[str, str, bool]  # type, zone, spot
+Bins = list[tuple[Kind, list[float]]]  # machines by kind, with the room left in each
 
 
 @dataclass(slots=True)
@@ -53,9 +54,9 @@
 class Renter:
     """Decides what to rent and what to return."""
 
-    def __init__(self, epoch: int, idle_s: float, spare_share: float, lag_s: float, lease_s: float, now: float) -> None:
+    def __init__(self, epoch: int, idle_s: float, spare: float, lag_s: float, lease_s: float, now: float) -> None:
         self.epoch = epoch
-        self.idle_s, self.spare_share, self.lag_s, self.lease_s = idle_s, spare_share, lag_s, lease_s
+        self.idle_s, self.spare, self.lag_s, self.lease_s = idle_s, spare, lag_s, lease_s
         self.started = now
         self.types: dict[str, MachineType] = {}
         self.machines: dict[str, Rented] = {}
@@ -181,7 +182,6 @@
                 out.give_back.append(m.name)  # drained
             elif m.view is not None and m.view[7]:
                 m.drain = True  # faulty: used up, then replaced
-        spare = self._spare_needed(now)
         needed = any(self._urgent(from_record(v[0])) for state in self.demand.values() for v in state.values())
         out_of_use = [
             m for m in self.machines.values()
@@ -189,8 +189,9 @@
             and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view[8] and not needed))
         ]  # fmt: skip
         for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), m.since)):
-            # an ordinary machine that only runs work that could be on cheap ones is let go when that ends
-            if m.kind[2] or self._free_room(now, but=m.name) >= spare:
+            # an ordinary machine that only runs work that could be on cheap ones is let go when that ends,
+            # unless what is likely to come soon would miss it
+            if m.kind[2] or self._enough(now, but=m.name):
                 m.drain = True
 
     def _price(self, kind: Kind) -> float:
@@ -200,37 +201,51 @@
     def _share(self, vec: Vec, kind: MachineType) -> float:
         return max((x / c for x, c in zip(vec, kind.vec, strict=True) if c > 0), default=0.0)
 
-    def _spare_needed(self, now: float) -> float:
-        """Machines' worth of ordinary room to keep ready: what usually comes while a machine boots, and some more."""
+    def _forecast(self, now: float) -> list[tuple[Job, int]]:
+        """Tasks to keep room for: of each class that can't use cheap machines, what usually comes while one boots."""
         since = max(self.started, now - 300.0)
         span = max(60.0, now - since)
-        total = peak = 0.0
-        boot = 30.0
+        seen: dict[str, tuple[Job, int]] = {}
         for at, job in self.arrivals.values():
-            kinds = [t for t in self.types.values() if fits(job.vec, t.vec)]
-            if at < since or job.spot or not kinds:
-                continue
-            kind = min(kinds, key=lambda t: t.price)
-            boot = max(boot, kind.boot_s)
-            per = self._share(job.vec, kind)
-            total += per * job.n
-            peak = max(peak, per * min(job.n, 2))
-        mean = total / span * (boot + 15.0)
-        ordinary = sum(1 for m in self.machines.values() if not m.kind[2] and m.view is not None)
-        return max(0.5, peak, mean + 0.7 * math.sqrt(mean), self.spare_share * ordinary)
-
-    def _free_room(self, now: float, but: str = "") -> float:
-        """Machines' worth of ordinary room, with what services may take from others."""
-        total = 0.0
+            if at >= since and not job.spot:
+                last, n = seen.get(job.klass, (job, 0))
+                seen[job.klass] = (job if job.vec >= last.vec else last, n + min(job.n, 50))
+        out = []
+        for job, n in seen.values():
+            boot = min((t.boot_s for t in self.types.values() if fits(job.vec, t.vec)), default=0.0)
+            mean = n / span * (boot + 20.0)
+            out.append((job, math.ceil(mean + self.spare * math.sqrt(mean))))
+        return sorted(out, key=lambda x: -max(x[0].vec))
+
+    def _bins(self, now: float, but: str = "") -> tuple[Bins, Bins]:
+        """Free and coming room; and the same with the room of work that may be stopped."""
+        bins: Bins = []
+        firm: Bins = []
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
-            if t is None or m.name == but or m.kind[2] or m.drain or m.returning:
+            if t is None or m.drain or m.returning or m.name == but:
                 continue
-            if m.view is None:
-                total += 1.0 if self._coming(m, now) else 0.0
-            elif not m.view[5] and not m.view[6] and not m.view[7]:
-                total += min((x / c for x, c in zip(m.view[9], t.vec, strict=True) if c > 0), default=0.0)
-        return total
+            if m.view is not None:
+                if not (m.view[5] or m.view[6] or m.view[7]):
+                    bins.append((m.kind, list(m.view[3])))
+                    firm.append((m.kind, list(m.view[9])))
+            elif self._coming(m, now):
+                room = list(t.vec)
+                bins.append((m.kind, room))
+                firm.append((m.kind, room))  # the same room, whoever takes it
+        return bins, firm
+
+    def _items(self) -> list[tuple[Any, Job, int, dict[str, int] | None]]:
+        """What waits, most important first."""
+        items = [(v[3], from_record(v[0]), v[1], v[2]) for state in self.demand.values() for v in state.values()]
+        return sorted(items, key=lambda x: x[0])
+
+    def _enough(self, now: float, but: str) -> bool:
+        """Whether what waits and what is likely to come has room without one machine."""
+        _, firm = self._bins(now, but)
+        firm = [(k, r) for k, r in firm if not k[2]]
+        wanted = [(job, n) for _, job, n, _ in self._items() if not job.spot] + self._forecast(now)
+        return all(self._into(job, n, None, firm)[0] == 0 for job, n in wanted)
 
     def _urgent(self, job: Job) -> bool:
         """Whether work that may use cheap machines can't wait for one: its deadline would be missed."""
@@ -245,54 +260,21 @@
             now - m.since < 2.5 * boot + 15 and m.view_at == 0.0)
 
     def _rents(self, now: float, out: Plan) -> None:
-        bins: list[tuple[Kind, list[float]]] = []
-        firm: list[tuple[Kind, list[float]]] = []
-        for m in self.machines.values():
-            t = self.types.get(m.kind[0])
-            if t is None or m.drain or m.returning:
-                continue
-            if m.view is not None:
-                if not (m.view[5] or m.view[6] or m.view[7]):
-                    bins.append((m.kind, list(m.view[3])))
-                    firm.append((m.kind, list(m.view[9])))
-            elif self._coming(m, now):
-                room = list(t.vec)
-                bins.append((m.kind, room))
-                firm.append((m.kind, room))  # the same room, whoever takes it
+        bins, firm = self._bins(now)
         new: dict[Kind, int] = {}
-        items = [(v[3], from_record(v[0]), v[1], v[2]) for state in self.demand.values() for v in state.values()]
-        for _, job, n, zones in sorted(items, key=lambda x: x[0]):
-            zones = dict(zones) if zones is not None else None
-            mine, other = (firm, bins) if job.rank == 0 else (bins, firm)
+        work = [(job, n, dict(z) if z is not None else None) for _, job, n, z in self._items()]
+        for job, n, zones in work + [(job, n, None) for job, n in self._forecast(now)]:
+            mine, other = (bins, firm) if job.spot else (firm, bins)
             before = len(mine)
             self._fill(job, n, zones, mine, new, now)
             other += mine[before:]
-        free = sum(max(0.0, self._bin_share(k, b)) for k, b in firm if not k[2])
-        spare = self._spare_needed(now)
-        tries = 0
-        while free < spare - 0.5 and tries < 10 and any(m.view is not None for m in self.machines.values()):
-            tries += 1
-            ordinary = [m.kind[0] for m in self.machines.values() if not m.kind[2]]
-            name = max(set(ordinary), key=ordinary.count) if ordinary else next(iter(self.types))
-            options = [(name, z, False) for z in self.types[name].zones if not self._paused((name, z, False), now)]
-            if not options:
-                break
-            kind = min(options, key=lambda k: sum(1 for m in self.machines.values() if m.kind[:2] == k[:2]) + new.get(k, 0))
-            new[kind] = new.get(kind, 0) + 1
-            free += 1.0
         out.rent = [Rent(kind, min(n, 50)) for kind, n in new.items()]
 
-    def _bin_share(self, kind: Kind, room: list[float]) -> float:
-        t = self.types[kind[0]]
-        return min((x / c for x, c in zip(room, t.vec, strict=True) if c > 0), default=0.0)
-
     def _paused(self, kind: Kind, now: float) -> bool:
         return self.refused.get(kind, (0.0, 0.0))[0] > now
 
-    def _fill(self, job: Job, n: int, zones: dict[str, int] | None, bins: list[tuple[Kind, list[float]]],
-              new: dict[Kind, int], now: float) -> None:
-        """Put waiting tasks into free and coming room first, then into machines to be rented."""
-        n = min(n, 2000)
+    def _into(self, job: Job, n: int, zones: dict[str, int] | None, bins: Bins) -> tuple[int, dict[str, int] | None]:
+        """Put up to n tasks into bins; what is left over, and how much each zone may still take."""
         for kind, room in bins:
             if not self._ok(job, kind):
                 continue
@@ -303,20 +285,23 @@
                     zones[kind[1]] -= 1
                     if job.one_zone:
                         zones = {z: (c if z == kind[1] else 0) for z, c in zones.items()}
+        return n, zones
+
+    def _fill(self, job: Job, n: int, zones: dict[str, int] | None, bins: Bins,
+              new: dict[Kind, int], now: float) -> None:
+        """Put waiting tasks into free and coming room first, then into machines to be rented."""
+        n, zones = self._into(job, min(n, 2000), zones, bins)
         while n > 0:
-            kind2 = self._choose(job, zones, new, now)
-            if kind2 is None:
+            kind = self._choose(job, zones, new, now)
+            if kind is None:
                 return
-            new[kind2] = new.get(kind2, 0) + 1
-            room2 = list(self.types[kind2[0]].vec)
-            while n > 0 and fits(job.vec, (room2[0], room2[1], room2[2])) and (zones is None or zones.get(kind2[1], 0) > 0):
-                room2[:] = add((room2[0], room2[1], room2[2]), job.vec, -1)
-                n -= 1
-                if zones is not None:
-                    zones[kind2[1]] -= 1
-                    if job.one_zone:
-                        zones = {z: (c if z == kind2[1] else 0) for z, c in zones.items()}
-            bins.append((kind2, room2))
+            new[kind] = new.get(kind, 0) + 1
+            fresh = (kind, list(self.types[kind[0]].vec))
+            left, zones = self._into(job, n, zones, [fresh])
+            if left == n:
+                return
+            n = left
+            bins.append(fresh)
 
     def _ok(self, job: Job, kind: Kind) -> bool:
         return (job.types is None or kind[0] in job.types) and (job.zone is None or job.zone == kind[1]) and (job.spot or not kind[2])
--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -648,7 +648,7 @@
             return False
         s = self.settings
         self.replica.put_own(RENTER, {"node": s.name}, epoch)
-        self.renter = Renter(epoch, s.options.idle_return_s, s.options.spare_share, s.list_lag_s, s.lease_s, now)
+        self.renter = Renter(epoch, s.options.idle_return_s, s.options.spare, s.list_lag_s, s.lease_s, now)
         self.renter.types = self.types or {}
         self.renter_orphan = 0.0
         for job, _ in self.replica.live.values():
--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -42,7 +42,7 @@
     write_every_s: float = 0.03
     shard_lease_s: float = 4.0
     idle_return_s: float = 45.0
-    spare_share: float = 0.12
+    spare: float = 0.7
     handback_s: float = 6.0
     direct: bool = True
 
