--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -631,7 +631,9 @@
         js = self.jobs.get(jid)
         if js is None:
             return None
-        want = self.wanted(js, now)
+        # a permit that is being written still needs the room that is held for it: wanting less at once
+        # made owners cancel that room, and refuse the permit a moment later (kazi-bodi steady)
+        want = self.wanted(js, now) + sum(1 for e in js.entries.values() if e.part == part and not e.landed)
         permits = [
             [e.task, e.attempt, e.machine, e.epoch, e.ticket, e.stop] for e in js.entries.values() if e.part == part and e.landed
         ]
--- /dev/null
+++ b/tests/test_source.py
@@ -0,0 +1,153 @@
+"""The source's decisions and writes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ploverhall.bookkeeping.replica import JOB
+from ploverhall.coordination.source import Source
+from ploverhall.protocol.jobs import Job
+from ploverhall.settings import Team
+
+EPOCH = 9
+
+
+def a_job(jid: str = "j-000001", kind: str = "array", n: int = 3, **kw: Any) -> Job:
+    base: dict[str, Any] = {
+        "id": jid, "klass": "c", "team": "t", "kind": kind, "rank": 2, "n": n, "cpus": 1.0, "gpus": 1.0, "mem": 1.0, "image": "i",
+        "image_gb": 1.0, "types": None, "zone": None, "one_zone": False, "spread": False, "spot": False, "estimate_s": 9.0,
+        "checkpoint_s": 0.0, "save_s": 0.0, "deadline_s": None, "at": 0.0,
+    }  # fmt: skip
+    return Job(**{**base, **kw})
+
+
+def source(limit: float = 10.0) -> Source:
+    return Source(0, EPOCH, [Team("t", 0, 0, 4, limit)], ("a", "b"), 4096, 8)
+
+
+def offers(n: int, part: int = 0, zone: str = "a", first: int = 1, victims: int = 0) -> dict[str, Any]:
+    return {"o": [[first + i, f"n-{part}{i}", zone, 0.0, victims] for i in range(n)], "t": []}
+
+
+def test_room_stays_wanted_while_its_permit_is_being_written() -> None:
+    s = source()
+    s.on_job(a_job(n=2), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(2)}, 1.0)
+    s.decide(1.0)
+    board = s.board("j-000001", 0, 1.0)
+    assert board is not None and board["w"] == 2 and board["p"] == []
+    txn = s.plan()
+    assert txn is not None and txn.guards[JOB + "j-000001"] == 5
+    s.landed(txn, 20, 1.1)
+    board = s.board("j-000001", 0, 1.1)
+    assert board is not None and board["w"] == 0 and len(board["p"]) == 2
+
+
+def test_preempting_room_is_taken_only_when_others_had_time_to_speak() -> None:
+    s = source()
+    s.on_job(a_job(n=1, kind="service"), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(1, victims=1)}, 0.1)
+    s.decide(0.1)
+    assert s.plan() is None
+    s.on_owner(1, 3, True, {"j-000001": offers(1, part=1)}, 0.2)
+    s.decide(0.5)
+    txn = s.plan()
+    assert txn is not None and [e.part for e in txn.adds] == [1], "plain room is the better answer"
+
+
+def test_the_limit_counts_what_is_not_proven_gone() -> None:
+    s = source(limit=2.0)
+    s.on_job(a_job(n=5), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(5)}, 1.0)
+    s.decide(1.0)
+    txn = s.plan()
+    assert txn is not None and len(txn.adds) == 2
+    s.landed(txn, 20, 1.0)
+    s.on_job(None, "j-000001", 0, 2.0)  # withdrawn: its tasks are still out there
+    s.on_job(a_job("j-000002", n=2), "j-000002", 6, 2.0)
+    s.on_owner(0, 3, False, {"j-000002": offers(2, first=50)}, 2.0)
+    s.decide(2.0)
+    assert s.plan() is None
+
+
+def test_a_gang_is_permitted_whole_or_not_at_all() -> None:
+    s = source()
+    s.on_job(a_job(n=3, kind="gang"), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(2)}, 1.0)
+    s.decide(1.0)
+    assert s.plan() is None
+    s.on_owner(1, 3, True, {"j-000001": offers(1, part=1)}, 1.1)
+    s.decide(1.1)
+    txn = s.plan()
+    assert txn is not None and len(txn.adds) == 3 and len({e.attempt for e in txn.adds}) == 1, "pieces of two parts, one attempt"
+
+
+def test_a_gang_in_one_zone_takes_no_pieces_from_two() -> None:
+    s = source()
+    s.on_job(a_job(n=3, kind="gang", one_zone=True), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(2)}, 1.0)
+    s.on_owner(1, 3, True, {"j-000001": offers(2, part=1, zone="b")}, 1.0)
+    s.decide(1.0)
+    assert s.plan() is None
+
+
+def test_spread_leaves_half_of_the_zones_room() -> None:
+    s = source()
+    s.on_job(a_job(n=5, kind="service", spread=True), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(5)}, 1.0)
+    s.decide(1.0)
+    txn = s.plan()
+    assert txn is not None and len(txn.adds) == 3
+
+
+def test_a_job_withdrawn_under_the_write_is_not_started() -> None:
+    s = source()
+    s.on_job(a_job(n=1), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(1)}, 1.0)
+    s.decide(1.0)
+    txn = s.plan()
+    assert txn is not None
+    assert s.refused(txn, [JOB + "j-000001"]) == []
+    assert s.plan() is None and s.board("j-000001", 0, 1.0) is None
+
+
+def test_a_write_of_unknown_outcome_that_landed_late_is_taken_from_the_cell() -> None:
+    s = source()
+    s.on_job(a_job(n=1), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(1)}, 1.0)
+    s.decide(1.0)
+    txn = s.plan()
+    assert txn is not None
+    s.install_cell("t", {}, 2.0)  # read again: not there yet
+    assert s.jobs["j-000001"].entries == {}
+    (key, value), = [(k, v) for k, v in txn.puts.items()]
+    s.install_cell("t", {key: (value, 30)}, 3.0)  # the next write failed its guard: it has landed after all
+    assert s.jobs["j-000001"].entries[0].landed
+    board = s.board("j-000001", 0, 3.0)
+    assert board is not None and len(board["p"]) == 1
+
+
+def test_a_hundred_thousand_tasks_fit_the_limits() -> None:
+    s = Source(0, EPOCH, [Team("t", 0, 0, 0, 0)], ("a",), 4096, 8)
+    s.on_job(a_job(n=100_000), "j-000001", 5, 0.0)
+    import orjson
+
+    now, rev, ticket, done = 1.0, 50, 1, 0
+    for _ in range(6):
+        s.on_owner(0, 3, True, {"j-000001": offers(200, first=ticket)}, now)
+        ticket += 200
+        s.decide(now)
+        while (txn := s.plan()) is not None:
+            assert len(txn.puts) + len(txn.deletes) <= 8 and len(txn.guards) <= 32
+            assert all(len(orjson.dumps(v)) <= 4096 for v in txn.puts.values())
+            rev += 1
+            s.landed(txn, rev, now)
+        js = s.jobs["j-000001"]
+        s.on_owner(0, 3, True, {"j-000001": {"o": [], "t": [
+            [e.task, e.attempt, "exited", "done", 0, 0] for e in js.entries.values()]}}, now)  # fmt: skip
+        while (txn := s.plan()) is not None:
+            assert len(txn.puts) + len(txn.deletes) <= 8
+            rev += 1
+            s.landed(txn, rev, now)
+        done += 200
+        assert s.jobs["j-000001"].done_count == done and not s.jobs["j-000001"].entries
