Number the messages of a board: a late one of an old connection is dropped

A permit that its owner had refused came back as new when an old connection's batch arrived after a newer one's, and was run after its source had counted it as gone. Ruled out: tokens (the owner's own epoch), the cell (rightly without the entry). Tests: test_boards.py; the world now keeps order on a connection and reorders across connections.

--- a/ploverhall/coordination/boards.py
+++ b/ploverhall/coordination/boards.py
@@ -2,7 +2,9 @@
 
 A board belongs to a role here (`kind` and shard, at an epoch) and is meant for another role, wherever
 that is held. A new holder, a new connection or a new epoch gets the whole board; nothing else is
-resent, nothing is queued, and every message may come twice.
+resent, nothing is queued, and every message may come twice. Messages of a board are numbered: what an
+old connection delivers late, after a newer one has spoken, must not bring back what is over (the plain
+world saw a refused permit come back as new, and run, after its source had counted it as gone).
 """
 
 from __future__ import annotations
@@ -11,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-# a message: [kind, from shard, epoch, to shard, full, changes]
+# a message: [kind, from shard, epoch, to shard, full, changes, number]
 Message = list[Any]
 RENTER = -1  # stands for the renter where a shard is named
 
@@ -27,6 +29,7 @@
     state: dict[str, Any] = field(default_factory=dict)
     dirty: set[str] = field(default_factory=set)
     sent: tuple[str, int] | None = None
+    number: int = 0
 
     def put(self, key: str, value: Any) -> None:
         """Set or remove (None) one key."""
@@ -72,7 +75,9 @@
                 continue
             full = b.sent != (node, generation)
             if full or b.dirty:
-                out.append([b.kind, b.src, b.epoch, b.dst, full, dict(b.state) if full else {k: b.state.get(k) for k in b.dirty}])
+                b.number += 1
+                changes = dict(b.state) if full else {k: b.state.get(k) for k in b.dirty}
+                out.append([b.kind, b.src, b.epoch, b.dst, full, changes, b.number])
                 b.sent = (node, generation)
                 b.dirty.clear()
         return out
@@ -83,14 +88,19 @@
 
     def __init__(self) -> None:
         self.boards: dict[tuple[str, int, int], tuple[int, dict[str, Any]]] = {}
+        self.numbers: dict[tuple[str, int, int], int] = {}
 
     def take(self, message: Message) -> bool:
-        """False for a message of an epoch that is over."""
-        kind, src, epoch, dst, full, changes = message
+        """False for a message of an epoch that is over, or older than what is known."""
+        kind, src, epoch, dst, full, changes, number = message
         key = (kind, src, dst)
         old_epoch, state = self.boards.get(key, (0, {}))
         if epoch < old_epoch or (epoch > old_epoch and not full):
             return False
+        last = self.numbers.get(key, 0) if epoch == old_epoch else 0
+        if number <= last or (not full and number != last + 1):
+            return False
+        self.numbers[key] = number
         if full:
             state = {}
         for k, v in changes.items():
@@ -100,7 +110,3 @@
                 state[k] = v
         self.boards[key] = (epoch, state)
         return True
-
-    def epoch(self, kinds: tuple[str, ...], src: int) -> int:
-        """The highest epoch seen of a role."""
-        return max((e for (k, s, _), (e, _) in self.boards.items() if k in kinds and s == src), default=0)
--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -438,7 +438,7 @@
         if now - self.gossip_at.get(node, 0.0) > 0.5:
             self.gossip_at[node] = now
             epochs = {h.shard: h.epoch for h in self.held.values()}
-            out.append(["n", self.me, 0, 0, True, {"age": now - self.store.last_ok, "held": epochs}])
+            out.append(["n", self.me, 0, 0, True, {"age": now - self.store.last_ok, "held": epochs}, 0])
         return out
 
     def deliver(self, node: str, batch: list[Message]) -> None:
@@ -457,7 +457,7 @@
 
     def dispatch(self, message: Message) -> None:
         """Give a board's news to the role it is meant for, if it is held here."""
-        kind, src, epoch, dst, full, changes = message
+        kind, src, epoch, dst, full, changes = message[:6]
         now = time.monotonic()
         if src >= 0 and epoch < self.replica.holder(src)[1]:
             return  # from a holder that has been deposed
--- a/tests/world.py
+++ b/tests/world.py
@@ -184,6 +184,7 @@
         self.inbox, self.outbox = Inbox(), Outbox()
         self.held: dict[int, Held] = {}
         self.generation: dict[str, int] = {}
+        self.wires: dict[tuple[str, int, int], float] = {}
 
     @property
     def up(self) -> bool:
@@ -216,7 +217,7 @@
                 self.dispatch([kind, src, e, dst, True, dict(state)])
 
     def dispatch(self, message: list[Any]) -> None:
-        kind, src, epoch, dst, full, changes = message
+        kind, src, epoch, dst, full, changes = message[:6]
         h = self.held.get(dst)
         if h is None or epoch < self.replica.holder(src)[1]:
             return
@@ -235,13 +236,16 @@
                     self.dispatch(m)
         for other in self.w.nodes:
             if other is not self:
-                if self.w.cut(self, other):
+                if self.w.cut(self, other) or (self.w.chaos > 0 and self.w.rng.random() < 0.01):
                     self.generation[other.name] = self.generation.get(other.name, 0) + 1  # a new connection follows
                     continue
                 batch = self.outbox.collect(other.name, self.generation.get(other.name, 0) * 1000 + other.lives, self.holder)
                 if batch:
-                    # values travel as they are now: what is sent must not change under way
-                    self.w.later(self.w.delay(), other.receive, _copy(batch), other.lives)
+                    # in order on one connection; what an old connection still holds may come after a newer one's
+                    wire = (other.name, self.generation.get(other.name, 0), other.lives)
+                    at = max(self.wires.get(wire, 0.0) + 0.0001, self.w.now + self.w.delay())
+                    self.wires[wire] = at
+                    self.w.later(at - self.w.now, other.receive, _copy(batch), other.lives)
 
     lives = 0
 
