--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -13,6 +13,7 @@
 from ploverhall.protocol.cloud import Listed, MachineType
 from ploverhall.protocol.jobs import Job, from_record
 
+SLOT_S = 15.0  # arrivals are counted in slots of this length
 Kind = tuple[str, str, bool]  # type, zone, spot
 Bins = list[tuple[Kind, list[float]]]  # machines by kind, with the room left in each
 
@@ -205,16 +206,22 @@
         """Tasks to keep room for: of each class that can't use cheap machines, what usually comes while one boots."""
         since = max(self.started, now - 300.0)
         span = max(60.0, now - since)
-        seen: dict[str, tuple[Job, int]] = {}
+        biggest: dict[str, Job] = {}
+        slots: dict[str, dict[int, int]] = {}
         for at, job in self.arrivals.values():
             if at >= since and not job.spot:
-                last, n = seen.get(job.klass, (job, 0))
-                seen[job.klass] = (job if job.vec >= last.vec else last, n + min(job.n, 50))
+                if job.klass not in biggest or job.vec > biggest[job.klass].vec:
+                    biggest[job.klass] = job
+                slot = slots.setdefault(job.klass, {})
+                slot[int(at / SLOT_S)] = slot.get(int(at / SLOT_S), 0) + min(job.n, 50)
         out = []
-        for job, n in seen.values():
+        for klass, job in biggest.items():
+            # the busiest moment is left out: a lump (everyone submits when the service starts) is no rate,
+            # and taking it for one rented a fleet's worth of idle machines (kazi-bodi, first minute)
+            n = sum(slots[klass].values()) - max(slots[klass].values())
             boot = min((t.boot_s for t in self.types.values() if fits(job.vec, t.vec)), default=0.0)
             mean = n / span * (boot + 20.0)
-            out.append((job, math.ceil(mean + self.spare * math.sqrt(mean))))
+            out.append((job, max(1, math.ceil(mean + self.spare * math.sqrt(mean)))))
         return sorted(out, key=lambda x: -max(x[0].vec))
 
     def _bins(self, now: float, but: str = "") -> tuple[Bins, Bins]:
