--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,169 @@
+"""Stand-ins on loopback sockets that speak the published protocol: state service, cloud, workers."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import Any
+
+import anyio
+import orjson
+
+from ploverhall.protocol.jobs import Job
+from ploverhall.transport.http import Client, Reply, Request, Server, Unreachable
+
+from . import world
+
+
+class State:
+    """The state service."""
+
+    def __init__(self) -> None:
+        self.store = world.Store()
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.tied: dict[str, int] = {}
+        self.down = False
+
+    def expire(self) -> None:
+        now = time.monotonic()
+        for lease in [x for x, (_, end) in self.leases.items() if end < now]:
+            del self.leases[lease]
+            gone = [k for k, x in self.tied.items() if x == lease]
+            if gone:
+                self.store.txn({}, {}, gone)
+            for k in gone:
+                del self.tied[k]
+
+    async def handle(self, q: Request) -> Reply:
+        if self.down:
+            return Reply(503, {"error": "trouble"})
+        self.expire()
+        s = self.store
+        if q.path == "/multi":
+            body = orjson.loads(q.body)
+            puts = {o["put"]: o["v"] for o in body.get("apply", ()) if "put" in o}
+            deletes = [o["delete"] for o in body.get("apply", ()) if "delete" in o]
+            for o in body.get("apply", ()):
+                if o.get("tether") is not None and o["tether"] not in self.leases:
+                    return Reply(400, {"error": "no such lease"})
+            rev, failed = s.txn({g["path"]: g["feather"] for g in body["guards"]}, puts, deletes)
+            if failed:
+                return Reply(409, {"failed": failed, "moult": s.rev})
+            for o in body.get("apply", ()):
+                if "put" in o:
+                    self.tied.pop(o["put"], None)
+                    if o.get("tether") is not None:
+                        self.tied[o["put"]] = o["tether"]
+            return Reply(200, {"moult": rev})
+        if q.path == "/kv":
+            found = s.read(q.query["starts"])
+            items = [{"path": k, "v": v, "feather": r} for k, (v, r) in found.items() if k > q.query.get("from", "")]
+            return Reply(200, {"items": items[:2], "hasNext": len(items) > 2, "moult": s.rev})  # small pages on purpose
+        if q.path == "/watch":
+            since, until = int(q.query["from"]), time.monotonic() + int(q.query.get("holdMs", 0)) / 1000
+            while True:
+                news = [e for e in s.log if e.version > since and e.key.startswith(q.query["starts"])]
+                if news or time.monotonic() >= until:
+                    break
+                await anyio.sleep(0.01)
+                self.expire()
+            return Reply(200, {"moult": s.rev, "news": [
+                {"put": e.key, "v": e.value, "feather": e.version} if e.value is not None else {"delete": e.key, "feather": e.version}
+                for e in news]})  # fmt: skip
+        if q.path == "/grants":
+            ttl = orjson.loads(q.body)["lifeMs"] / 1000
+            lease = len(self.leases) + 1 + s.rev * 100
+            self.leases[lease] = (ttl, time.monotonic() + ttl)
+            return Reply(200, {"tether": lease})
+        if q.path.startswith("/grants/"):
+            lease = int(q.path.split("/")[2])
+            if lease not in self.leases:
+                return Reply(404, {})
+            self.leases[lease] = (self.leases[lease][0], time.monotonic() + self.leases[lease][0])
+            return Reply(200, {})
+        return Reply(404, {"moult": s.rev})
+
+
+class Fleet:
+    """The cloud, with workers that boot at once and report to the controllers."""
+
+    def __init__(self, controllers: list[tuple[str, int]], ports: int) -> None:
+        self.controllers = controllers
+        self.next_port = ports
+        self.now = time.monotonic()
+        self.rng = Random(1)
+        self.nodes = controllers
+        self.specs: dict[str, Job] = {}
+        self.results: set[tuple[str, int]] = set()
+        self.machines: dict[str, tuple[world.Worker, dict[str, Any], anyio.CancelScope]] = {}
+        self.pleas: dict[str, list[str]] = {}
+        self.starts = 0
+        self.broken: list[str] = []
+        self.tasks: Any = None
+
+    @property
+    def workers(self) -> dict[str, world.Worker]:
+        return {n: w for n, (w, _, _) in self.machines.items()}
+
+    def started(self, w: world.Worker, key: Any) -> None:
+        self.starts += 1
+        for other, _, _ in self.machines.values():
+            if other is not w and any(k[:2] == key[:2] for k in other.on_machine()):
+                self.broken.append(f"ran_twice {key}")
+
+    async def handle(self, q: Request) -> Reply:
+        if q.path == "/flavors":
+            return Reply(200, {"breeds": [{
+                "name": "t", "cores": 16, "gpus": 4, "ramGb": 128, "localGb": 60, "pullGbPerS": 1.0, "price": 10.0,
+                "lowPrice": 3.0, "startupS": 1, "marshes": ["a"]}]})  # fmt: skip
+        if q.path == "/hosts" and q.method == "GET":
+            items = [m for _, m, _ in self.machines.values()]
+            return Reply(200, {"perches": [m for m in items if m["id"] > q.query.get("from", "")], "hasNext": False})
+        body = orjson.loads(q.body)
+        if q.path == "/hosts":
+            if body["plea"] not in self.pleas:
+                self.pleas[body["plea"]] = [self.boot(body) for _ in range(body["count"])]
+            return Reply(200, {"perches": self.pleas[body["plea"]]})
+        for name in body["perches"]:
+            if name in self.machines:
+                self.machines.pop(name)[2].cancel()
+        return Reply(200, {})
+
+    def boot(self, body: dict[str, Any]) -> str:
+        name, port = f"n-{len(self.pleas):03d}{self.next_port}", self.next_port
+        self.next_port += 1
+        w = world.Worker(self, name, body["marsh"], body["driftwood"])  # type: ignore[arg-type]
+        listed = {"id": name, "endpoint": f"127.0.0.1:{port}", "breed": "t", "marsh": body["marsh"],
+                  "driftwood": body["driftwood"], "stance": "running", "heldS": 1.0}  # fmt: skip
+        scope = anyio.CancelScope()
+        self.machines[name] = (w, listed, scope)
+        self.tasks.start_soon(self.live, w, port, scope)
+        return name
+
+    async def live(self, w: world.Worker, port: int, scope: anyio.CancelScope) -> None:
+        async def do(q: Request) -> Reply:
+            self.now = time.monotonic()
+            before = w.token
+            body = orjson.loads(q.body)
+            report = w.on_do(body)
+            return Reply(200 if body["crest"] >= before and body["tide"] == w.session else 409, {**report, "endpoint": f"127.0.0.1:{port}"})
+
+        with scope:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(Server(do, 10).run, "127.0.0.1", port)
+                clients = [Client(*c, keep=1) for c in self.controllers]
+                while True:
+                    await anyio.sleep(0.1)
+                    self.now = time.monotonic()
+                    w.tick()
+                    world.World.gangs(self)  # type: ignore[arg-type]
+                    body, sent, session = {**w.report(), "endpoint": f"127.0.0.1:{port}"}, self.now, w.session
+                    try:
+                        status, answer = await clients[w.home].call("POST", "/v1/report", body, 4.0)
+                    except Unreachable:
+                        status, answer = 0, None
+                    self.now = time.monotonic()
+                    if status == 200 and isinstance(answer, dict):
+                        w.on_answer(answer, sent, session)
+                    else:
+                        w.home = (w.home + 1) % len(clients)
--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,117 @@
+"""One controller over real sockets: submit, run, outage, withdraw, repeat."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import anyio
+
+from ploverhall import settings
+from ploverhall.node import Node
+from ploverhall.protocol import jobs
+from ploverhall.transport.http import Client, Server
+
+from .standins import Fleet, State
+
+
+def free_ports(n: int) -> list[int]:
+    found = [socket.socket() for _ in range(n)]
+    for s in found:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in found]
+    for s in found:
+        s.close()
+    return ports
+
+
+def config(ports: list[int]) -> dict[str, Any]:
+    node, peer, state, cloud = ports[:4]
+    return {
+        "host_name": "c0", "site": "a", "bind": f"127.0.0.1:{node}", "peer_listen": f"127.0.0.1:{peer}",
+        "external": {"cloud": f"127.0.0.1:{cloud}", "state": f"127.0.0.1:{state}"},
+        "deployment": {
+            "zones": ["a"], "teams": [{"name": "team", "cpus": 0, "cpus_max": 0, "gpus": 4, "gpus_max": 8}],
+            "workers": {"report_s": 0.2, "lease_s": 10.0, "gang_wait_s": 5.0, "gang_peer_s": 2.0, "cancel_s": 30.0},
+            "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 4.0, "txn_ops": 8}, "cloud": {"rps": 20.0, "list_lag_s": 0.1},
+            "limits": {"core_share": 1.0, "mem_mb": 200.0, "max_sockets": 200},
+        },
+    }  # fmt: skip
+
+
+def spec(jid: str, gait: str, n: int, **kw: Any) -> dict[str, Any]:
+    return {"id": jid, "flock": "f", "keeper": "team", "gait": gait, "rank": "normal", "chicks": n, "cores": 1.0, "gpus": 1.0,
+            "ramGb": 1.0, "plumage": "i", "pullGb": 0.1, "breeds": None, "marsh": None, "together": False, "scatter": False,
+            "driftwood": False, "flightS": 0.3, "nestS": 0.0, "tuckS": 0.0, "duskS": None, **kw}  # fmt: skip
+
+
+def test_a_controller_on_loopback() -> None:
+    anyio.run(_play)
+
+
+async def _play() -> None:
+    ports = free_ports(40)
+    state, s = State(), settings.parse(config(ports))
+    fleet = Fleet([s.bind], max(ports) + 1)
+    user = Client(*s.bind)
+
+    async def call(method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        return await user.call(method, path, body, 5.0)
+
+    async def until(jid: str, stance: str) -> None:
+        with anyio.fail_after(20):
+            while True:
+                status, answer = await call("GET", f"/api/jobs/{jid}")
+                if status == 200 and answer["stance"] == stance:
+                    return
+                await anyio.sleep(0.05)
+
+    async with anyio.create_task_group() as tg:
+        fleet.tasks = tg
+        tg.start_soon(Server(state.handle, 100).run, *s.state)
+        tg.start_soon(Server(fleet.handle, 100).run, *s.cloud)
+        tg.start_soon(Node(s).run)
+        with anyio.fail_after(20):
+            while True:
+                try:
+                    if (await call("GET", "/healthz"))[0] == 200:
+                        break
+                except Exception:
+                    pass
+                await anyio.sleep(0.05)
+        work = [spec("j-000001", "array", 5), spec("j-000002", "group", 2), spec("j-000003", "daemon", 1)]
+        for w in work:
+            fleet.specs[w["id"]] = jobs.parse(w, 0.0)
+            assert (await call("POST", "/api/jobs", w))[0] == 201
+        assert (await call("POST", "/api/jobs", work[0]))[0] == 200, "a repeat is known"
+        assert (await call("POST", "/api/jobs", {**work[0], "chicks": 0}))[0] == 400
+        assert (await call("POST", "/api/jobs", spec("j-000009", "group", 99)))[0] == 422
+        assert (await call("GET", "/api/jobs/j-000099"))[0] == 404
+        await until("j-000001", "done")
+        await until("j-000002", "done")
+        await until("j-000003", "running")
+        state.down = True
+        assert (await call("GET", "/api/jobs/j-000001"))[1]["stance"] == "done", "a final state needs no state service"
+        assert (await call("GET", "/api/jobs/j-000003"))[0] == 503
+        assert (await call("POST", "/api/jobs", spec("j-000004", "array", 1)))[0] == 503
+        state.down = False
+        with anyio.fail_after(10):
+            while (answer := await call("POST", "/api/jobs/j-000003/withdraw"))[0] != 200:
+                await anyio.sleep(0.1)
+        assert answer[1]["stance"] == "withdrawn"
+        with anyio.fail_after(10):
+            while any(w.tasks for w, _, _ in fleet.machines.values()):
+                await anyio.sleep(0.05)
+        assert (await call("GET", "/api/jobs/j-000003"))[1]["stance"] == "withdrawn"
+        status = (await call("GET", "/status"))[1]
+        assert status["teams"]["team"]["gpus"] == 0 and status["machines"]
+        raw = await anyio.connect_tcp(*s.bind)
+        await raw.send(b"NONSENSE\r\n\r\n")
+        assert b"400" in await raw.receive()
+        await raw.aclose()
+        big = await anyio.connect_tcp(*s.bind)
+        await big.send(b"POST /api/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 70000\r\n\r\n" + b"x" * 70000)
+        assert b"413" in await big.receive()
+        await big.aclose()
+        assert not fleet.broken and fleet.starts >= 8
+        tg.cancel_scope.cancel()
