--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -27,10 +27,11 @@
 )  # fmt: skip
 from ploverhall.coordination import boards
 from ploverhall.coordination.boards import Inbox, Message, Outbox
-from ploverhall.coordination.owner import Machine, Owner, fits
+from ploverhall.coordination.owner import TOKEN_BITS, Machine, Owner, fits
 from ploverhall.coordination.renter import Rent, Renter
 from ploverhall.coordination.shards import Layout
 from ploverhall.coordination.source import Source, Txn
+from ploverhall.coordination.stranded import Stranded
 from ploverhall.protocol import cloud, jobs, workers
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job
@@ -82,6 +83,8 @@
         self.orphans: dict[int, float] = {}
         self.home_alive: dict[int, tuple[int, float]] = {}
         self.gossip_at: dict[str, float] = {}
+        self.stranded = Stranded()
+        self.taken_at: dict[int, float] = {}  # shards taken from a live holder
         self.views_at = 0.0
         self.renter_orphan = 0.0
         self.tasks: anyio.abc.TaskGroup
@@ -165,7 +168,8 @@
         if self.home_alive.get(shard, (0, 0.0))[0] != home_version:
             self.home_alive[shard] = (home_version, now)
         if held is not None:
-            if shard != self.me and home_version and now - self.home_alive[shard][1] > self.settings.options.handback_s:
+            steady = now - self.home_alive[shard][1] > self.settings.options.handback_s and self.heard(home, now)
+            if shard != self.me and home_version and steady and now - self.taken_at.get(shard, -1e9) > 30.0:
                 await self._hand_back(held)
             return
         if holder == name:
@@ -179,8 +183,16 @@
             if now - since >= delay:
                 await self._claim(shard, 0)
             return
+        elif self.stranded.should_take(shard, self.heard(holder, now), now):
+            log.info("workers can't reach their controller", shard=shard, holder=holder)
+            self.taken_at[shard] = now
+            await self._claim(shard, version)
         self.orphans.pop(shard, None)
 
+    def heard(self, node: str, now: float) -> bool:
+        """Whether a peer has spoken lately."""
+        return now - self.peer_news.get(node, (-1e9, 0.0, {}))[0] < 2.5
+
     async def _claim(self, shard: int, version: int) -> None:
         key = f"{SHARD}{shard}"
         try:
@@ -751,6 +763,10 @@
         held = self.held.get(part)
         if held is None:
             node = self.holder(part)
+            holder, epoch = self.replica.holder(part)
+            if holder is not None and holder != self.settings.name and r.token >> TOKEN_BITS == epoch:
+                self.stranded.note(part, r.machine, time.monotonic())
+                self.shard_wake.set()
             return Reply(421, workers.homing(node if node != self.settings.name else None))
         now = time.monotonic()
         if self.isolated(now):
