--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -165,7 +165,8 @@
             held = None
         home = self.layout.nodes[shard]
         _, home_version = self.replica.keys.get(NODE + home, (None, 0))
-        if self.home_alive.get(shard, (0, 0.0))[0] != home_version:
+        # -1: not even its absence has been seen yet (a home that was down at the start left no entry: KeyError)
+        if self.home_alive.get(shard, (-1, 0.0))[0] != home_version:
             self.home_alive[shard] = (home_version, now)
         if held is not None:
             steady = now - self.home_alive[shard][1] > self.settings.options.handback_s and self.heard(home, now)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,65 @@
+"""The loops' decisions that need no wire."""
+
+from __future__ import annotations
+
+import anyio
+
+from ploverhall import settings
+from ploverhall.bookkeeping.replica import NODE, SHARD
+from ploverhall.coordination.owner import Owner
+from ploverhall.node import Held, Node
+
+from .test_loopback import config
+
+
+def a_node() -> Node:
+    data = config([1, 2, 3, 4])
+    data["siblings"] = [{"host_name": "c1", "site": "a", "addr": "127.0.0.1:5"}]
+    return Node(settings.parse(data))
+
+
+def test_a_shard_is_kept_while_its_home_is_down_and_was_never_seen() -> None:
+    """A home that was down since this process started must not stop the shard loop (kazi-bodi, hunt-13e3-7)."""
+
+    async def play() -> None:
+        node = a_node()
+        s = node.settings
+        owner = Owner(1, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0)
+        node.held[1] = Held(1, 7, owner)
+        node.replica.keys[f"{SHARD}1"] = ({"node": "c0"}, 7)
+        await node._shard(1, 10.0)
+        assert 1 in node.held
+        node.replica.keys[NODE + "c1"] = ({}, 9)
+        await node._shard(1, 11.0)
+        node.peer_news["c1"] = (12.0, 0.0, {})
+        await node._shard(1, 12.0)
+        assert 1 in node.held, "its home is back, but not steady yet"
+
+    anyio.run(play)
+
+
+def test_a_controller_without_state_and_peers_stops_answering_workers_in_time() -> None:
+    """Others may have cancelled what runs here: their leases must end within the time a cancellation has."""
+
+    async def play() -> None:
+        node = a_node()
+        node.store.last_ok = 100.0
+        assert not node.isolated(105.0)
+        assert node.isolated(100.0 + node.settings.cancel_s - node.settings.lease_s)
+        node.peer_news["c1"] = (119.5, 60.0, {})
+        assert not node.isolated(120.0), "an outage that every controller confirms: nobody can cancel"
+
+    anyio.run(play)
+
+
+def test_news_of_a_newer_holder_deposes() -> None:
+    async def play() -> None:
+        node = a_node()
+        s = node.settings
+        node.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0))
+        node.deliver("c1", [["n", 1, 0, 0, True, {"age": 0.0, "held": {0: 6}}, 0]])
+        assert 0 in node.held
+        node.deliver("c1", [["n", 1, 0, 0, True, {"age": 0.0, "held": {0: 8}}, 0]])
+        assert 0 not in node.held
+
+    anyio.run(play)
