--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,74 @@
+"""The HTTP server towards clients that do not behave."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from ploverhall.transport.http import Client, Reply, Request, Server, Unreachable
+
+from .test_loopback import free_ports
+
+
+async def ok(q: Request) -> Reply:
+    return Reply(200, {"path": q.path})
+
+
+def test_slow_and_half_open_clients_are_closed_and_harm_no_one() -> None:
+    async def play() -> None:
+        (port,) = free_ports(1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(Server(ok, cap=10, idle_s=0.5, slow_s=0.3).run, "127.0.0.1", port)
+            await anyio.sleep(0.1)
+            half = await anyio.connect_tcp("127.0.0.1", port)
+            slow = await anyio.connect_tcp("127.0.0.1", port)
+            await slow.send(b"GET /x HT")
+            client = Client("127.0.0.1", port)
+            assert (await client.call("GET", "/a"))[1] == {"path": "/a"}
+            for stream in (half, slow):
+                with anyio.fail_after(3), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    while True:
+                        await stream.receive()
+                await stream.aclose()
+            assert (await client.call("GET", "/b"))[1] == {"path": "/b"}
+            tg.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+def test_a_connection_over_the_cap_is_told_when_to_come_back() -> None:
+    async def play() -> None:
+        (port,) = free_ports(1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(Server(ok, cap=2).run, "127.0.0.1", port)
+            await anyio.sleep(0.1)
+            held = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(2)]
+            await anyio.sleep(0.1)
+            third = await anyio.connect_tcp("127.0.0.1", port)
+            with anyio.fail_after(3):
+                answer = await third.receive()
+            assert b" 503 " in answer and b"retry-after" in answer
+            for stream in (*held, third):
+                await stream.aclose()
+            await anyio.sleep(0.1)
+            assert (await Client("127.0.0.1", port).call("GET", "/"))[0] == 200, "and is served once there is room"
+            tg.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+def test_a_silent_server_is_unreachable_in_time() -> None:
+    async def never(q: Request) -> Reply:
+        await anyio.sleep(60)
+        return Reply(200)
+
+    async def play() -> None:
+        (port,) = free_ports(1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(Server(never, cap=2).run, "127.0.0.1", port)
+            await anyio.sleep(0.1)
+            with pytest.raises(Unreachable):
+                await Client("127.0.0.1", port).call("GET", "/", timeout=0.3)
+            tg.cancel_scope.cancel()
+
+    anyio.run(play)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -105,6 +105,13 @@
         assert (await call("GET", "/api/jobs/j-000003"))[1]["stance"] == "withdrawn"
         status = (await call("GET", "/status"))[1]
         assert status["teams"]["team"]["gpus"] == 0 and status["machines"]
+        huge = spec("j-000005", "array", 100_000, flightS=0.2)
+        fleet.specs["j-000005"] = jobs.parse(huge, 0.0)
+        assert (await call("POST", "/api/jobs", huge))[0] == 201
+        with anyio.fail_after(20):
+            while (answer := await call("GET", "/api/jobs/j-000005"))[1].get("done", 0) < 16:
+                await anyio.sleep(0.05)
+        assert (await call("POST", "/api/jobs/j-000005/withdraw"))[0] == 200
         raw = await anyio.connect_tcp(*s.bind)
         await raw.send(b"NONSENSE\r\n\r\n")
         assert b"400" in await raw.receive()
