--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -42,7 +42,7 @@
     write_every_s: float = 0.03
     shard_lease_s: float = 4.0
     idle_return_s: float = 45.0
-    spare: float = 0.7
+    spare: float = 1.4
     handback_s: float = 6.0
     direct: bool = True
 
