--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ploverhall.bookkeeping.replica import JOB
-from ploverhall.coordination.source import Source
+from ploverhall.coordination.source import Source, Txn
 from ploverhall.protocol.jobs import Job
 from ploverhall.settings import Team
 
@@ -29,6 +29,16 @@
     return {"o": [[first + i, f"n-{part}{i}", zone, 0.0, victims] for i in range(n)], "t": []}
 
 
+def one_permit_being_written() -> tuple[Source, Txn]:
+    s = source()
+    s.on_job(a_job(n=1), "j-000001", 5, 0.0)
+    s.on_owner(0, 3, True, {"j-000001": offers(1)}, 1.0)
+    s.decide(1.0)
+    txn = s.plan()
+    assert txn is not None
+    return s, txn
+
+
 def test_room_stays_wanted_while_its_permit_is_being_written() -> None:
     s = source()
     s.on_job(a_job(n=2), "j-000001", 5, 0.0)
@@ -101,23 +111,13 @@
 
 
 def test_a_job_withdrawn_under_the_write_is_not_started() -> None:
-    s = source()
-    s.on_job(a_job(n=1), "j-000001", 5, 0.0)
-    s.on_owner(0, 3, True, {"j-000001": offers(1)}, 1.0)
-    s.decide(1.0)
-    txn = s.plan()
-    assert txn is not None
+    s, txn = one_permit_being_written()
     assert s.refused(txn, [JOB + "j-000001"]) == []
     assert s.plan() is None and s.board("j-000001", 0, 1.0) is None
 
 
 def test_a_write_of_unknown_outcome_that_landed_late_is_taken_from_the_cell() -> None:
-    s = source()
-    s.on_job(a_job(n=1), "j-000001", 5, 0.0)
-    s.on_owner(0, 3, True, {"j-000001": offers(1)}, 1.0)
-    s.decide(1.0)
-    txn = s.plan()
-    assert txn is not None
+    s, txn = one_permit_being_written()
     s.install_cell("t", {}, 2.0)  # read again: not there yet
     assert s.jobs["j-000001"].entries == {}
     (key, value), = [(k, v) for k, v in txn.puts.items()]
