--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -456,15 +456,19 @@
                     warm = [m for m in open_ if w.job.image in m.images]
                     open_ = self.rng.sample(open_, self.sample) + self.rng.sample(warm, min(len(warm), self.sample))
                 cost, _, m = min(((*self._score(w.job, m, rooms[m.name]), m) for m in open_), key=lambda x: x[:2])
-                t = Ticket(self.next_ticket, jid, m.name, now + self.hold_s, w.job.vec, w.job.image, cost)
-                self.next_ticket += 1
-                m.tickets[t.id] = t
-                self.tickets.setdefault(jid, {})[t.id] = t
+                self._hold(jid, w.job, m, cost, now)
                 rooms[m.name] = add(rooms[m.name], w.job.vec, -1)
                 by_zone[m.zone] = by_zone.get(m.zone, 0) + 1
-                self.dirty_jobs.add(jid)
                 missing -= 1
 
+    def _hold(self, jid: str, job: Job, m: Machine, cost: float, now: float, victims: tuple[Key, ...] = ()) -> None:
+        """Keep room for one candidate until the hold time is over."""
+        t = Ticket(self.next_ticket, jid, m.name, now + self.hold_s, job.vec, job.image, cost, victims)
+        self.next_ticket += 1
+        m.tickets[t.id] = t
+        self.tickets.setdefault(jid, {})[t.id] = t
+        self.dirty_jobs.add(jid)
+
     def firm_room(self, m: Machine) -> Vec:
         """What services could have: the room of work that may be stopped for them counts as free."""
         room = self.room(m)
@@ -525,16 +529,12 @@
             _, m, chosen = best
             victims = tuple(p.key for p in chosen)
             taken.update(victims)
-            t = Ticket(self.next_ticket, jid, m.name, now + self.hold_s, w.job.vec, w.job.image, best[0], victims)
-            self.next_ticket += 1
-            m.tickets[t.id] = t
-            self.tickets.setdefault(jid, {})[t.id] = t
+            self._hold(jid, w.job, m, best[0], now, victims)
             room = rooms[m.name]
             for p in chosen:
                 room = add(room, p.vec)
             rooms[m.name] = add(room, w.job.vec, -1)
             by_zone[m.zone] = by_zone.get(m.zone, 0) + 1
-            self.dirty_jobs.add(jid)
             found += 1
         return found
 
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -26,7 +26,6 @@
     kind: Kind
     since: float
     listed: str = ""  # the cloud's state for it
-    listed_at: float = 0.0
     age_s: float = 0.0
     view: list[Any] | None = None  # an owner's, while a worker reports
     view_at: float = 0.0
@@ -138,7 +137,7 @@
             m = self.machines.get(it.name)
             if m is None:
                 m = self.machines[it.name] = Rented(it.name, (it.type, it.zone, it.spot), now - it.age_s)
-            m.listed, m.listed_at, m.age_s = it.state, now, it.age_s
+            m.listed, m.age_s = it.state, it.age_s
         old = 2.0 * self.lag_s + 1.0
         for name, m in list(self.machines.items()):
             # it existed, and a list that is surely younger does not have it: it was taken or deleted
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -153,7 +153,6 @@
         self.teams = {t.name: t for t in teams}
         self.zones = zones
         self.txn_ops = txn_ops
-        self.value_bytes = value_bytes
         self.per_chunk = max(1, int(value_bytes * 0.85) // ENTRY_BYTES)
         self.jobs: dict[str, JobState] = {}
         self.chunks: dict[str, dict[int, int]] = {t.name: {} for t in teams}  # team -> chunk -> version
@@ -166,7 +165,6 @@
         self.impatient = False  # a worse answer is being held back for a moment
         self.dirty = True
         self.note: Callable[..., None] = lambda *a, **k: None
-        self.gang_wait_s = 30.0
 
     # -- starting ----------------------------------------------------------------------------
 
--- a/ploverhall/transport/http.py
+++ b/ploverhall/transport/http.py
@@ -220,7 +220,3 @@
                 continue
             else:
                 raise anyio.EndOfStream
-    async def close(self) -> None:
-        """Close what is idle."""
-        while self.idle:
-            await anyio.aclose_forcefully(self.idle.pop()[0])
