--- a/ploverhall/coordination/boards.py
+++ b/ploverhall/coordination/boards.py
@@ -41,12 +41,15 @@
             self.state[key] = value
         self.dirty.add(key)
 
+    def update(self, changes: dict[str, Any]) -> None:
+        """Set some keys."""
+        for key, value in changes.items():
+            self.put(key, value)
+
     def replace(self, state: dict[str, Any]) -> None:
         """Set all keys."""
-        for key in [k for k in self.state if k not in state]:
-            self.put(key, None)
-        for key, value in state.items():
-            self.put(key, value)
+        self.update({k: None for k in self.state if k not in state})
+        self.update(state)
 
 
 class Outbox:
--- /dev/null
+++ b/ploverhall/coordination/placement.py
@@ -0,0 +1,386 @@
+"""Candidates on one part: room is held for as many as fit, the others wait for room or to be cancelled.
+
+A pass costs what has changed: new candidates look at a sample of what has room, waiting ones only at
+machines that have gained room since.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left, insort
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+
+from ploverhall.coordination.fleet import Fleet, Info, Machine, Permit, Place, Ticket, Vec, add, fits, occupies
+from ploverhall.protocol import peers
+from ploverhall.protocol.jobs import RANKS, Job
+from ploverhall.protocol.peers import Candidate
+from ploverhall.protocol.workers import Key
+
+PREEMPT_EVERY_S = 0.25  # how often a waiting candidate is matched anew against work that may be stopped
+PREEMPT_AT_ONCE = 24  # candidates matched in one go
+LEAST_RANK = max(RANKS.values())
+REVISIT_S = 2.0  # how often every waiting candidate is looked at anew, whatever has been seen to change
+Failed = list[tuple[Vec, tuple[str, ...] | None, str | None, bool]]
+
+
+@dataclass(slots=True, eq=False)
+class Want:
+    """What a source wants placed: a candidate for each waiting task of a job."""
+
+    src: int
+    job: Job
+    n: int
+    zones: dict[str, int] | None
+    order: tuple[float, ...]
+    avoid: frozenset[str]
+    within: bool
+
+
+class Placement:
+    """Holds room for candidates and tells the sources."""
+
+    def __init__(self, fleet: Fleet, hold_s: float, sample: int, rng: Random) -> None:
+        self.fleet, self.hold_s, self.sample, self.rng = fleet, hold_s, sample, rng
+        self.wants: dict[str, Want] = {}
+        self.tickets: dict[str, dict[int, Ticket]] = {}
+        self.waiting: list[tuple[tuple[float, ...], str]] = []  # candidates without room, most important first
+        self.new: set[str] = set()  # those not yet looked at
+        self.expiry: deque[Ticket] = deque()  # in the order in which the hold time ends
+        self.preempting: dict[int, Ticket] = {}
+        self.victims: set[Key] = set()  # what permits being carried out stop already; the owner keeps it
+        self.partial: str | None = None  # the one gang that may hold room for less than all of its tasks
+        self.next_ticket = 1
+        self.next_preempt = 0.0
+        self.next_revisit = 0.0
+        self.news: dict[tuple[int, str], list[object] | peers.OfferNews | None] = {}
+
+    # -- what is wanted ----------------------------------------------------------------------
+
+    def want(self, src: int, job: Job, c: Candidate, within: bool) -> None:
+        """A source's candidates for a job are these from now on."""
+        old = self.wants.get(job.id)
+        w = Want(src, job, c.n, c.zones, tuple(c.order), frozenset(c.avoid), within)
+        if old is not None and old.order != w.order:
+            self._leave_queue(job.id, old.order)
+        self.wants[job.id] = w
+        self._trim(job.id)
+        if old is None or (w.n, w.zones, w.order, w.avoid) != (old.n, old.zones, old.order, old.avoid):
+            self._queue(job.id)
+
+    def cancel(self, jid: str) -> None:
+        """No candidates of this job any more."""
+        w = self.wants.pop(jid, None)
+        if w is not None:
+            self._leave_queue(jid, w.order)
+        self._trim(jid)
+
+    def _queue(self, jid: str) -> None:
+        """Look for room for what a job still misses."""
+        w = self.wants.get(jid)
+        if w is not None and len(self.tickets.get(jid, ())) < w.n:
+            self.new.add(jid)
+            self._wait(jid, w)
+
+    def _wait(self, jid: str, w: Want) -> None:
+        at = (w.order, jid)
+        i = bisect_left(self.waiting, at)
+        if i >= len(self.waiting) or self.waiting[i] != at:
+            insort(self.waiting, at)
+
+    def _leave_queue(self, jid: str, order: tuple[float, ...]) -> None:
+        self.new.discard(jid)
+        i = bisect_left(self.waiting, (order, jid))
+        if i < len(self.waiting) and self.waiting[i] == (order, jid):
+            del self.waiting[i]
+
+    # -- held room ---------------------------------------------------------------------------
+
+    def hold(self, w: Want, m: Machine, cost: float, now: float, victims: tuple[Key, ...] = ()) -> Ticket:
+        """Keep room for one candidate until the hold time is over, and say so."""
+        t = Ticket(self.next_ticket, w.src, w.job.id, m.name, m.zone, now + self.hold_s, w.job.vec, w.job.image, cost, victims)
+        self.next_ticket += 1
+        m.tickets[t.id] = t
+        self.tickets.setdefault(t.job, {})[t.id] = t
+        self.expiry.append(t)
+        if victims:
+            self.preempting[t.id] = t
+        self.news[t.src, peers.offer_key(t.id)] = peers.OfferNews(t.job, t.machine, t.zone, round(t.cost, 2), len(victims))
+        self.fleet.look(m, now)
+        self.fleet.touch(m)  # for the renter
+        return t
+
+    def free(self, t: Ticket, again: bool = True) -> None:
+        """Give held room back; what is still wanted is looked for anew."""
+        held = self.tickets.get(t.job)
+        if held is None or held.pop(t.id, None) is None:
+            return
+        if not held:
+            del self.tickets[t.job]
+        self.preempting.pop(t.id, None)
+        self.news[t.src, peers.offer_key(t.id)] = None
+        m = self.fleet.machines.get(t.machine)
+        if m is not None:
+            m.tickets.pop(t.id, None)
+            self.fleet.touch(m)
+        if again:
+            self._queue(t.job)
+
+    def _trim(self, jid: str) -> None:
+        """Cancelled candidates give their room back."""
+        held = self.tickets.get(jid)
+        if not held:
+            return
+        want = self.wants.get(jid)
+        n = want.n if want else 0
+        if len(held) > n:
+            for t in sorted(held.values(), key=lambda t: (-t.cost, -t.id))[: len(held) - n]:
+                self.free(t, again=False)
+
+    def expire(self, now: float) -> None:
+        """The hold time of unpermitted room is over."""
+        while self.expiry and (self.expiry[0].until <= now or self.expiry[0].id not in self.tickets.get(self.expiry[0].job, ())):
+            self.free(self.expiry.popleft())
+
+    def release(self, m: Machine) -> None:
+        """A machine that can't be used holds nothing."""
+        for t in list(m.tickets.values()):
+            self.free(t)
+
+    # -- placing -----------------------------------------------------------------------------
+
+    def place(self, now: float) -> None:
+        """One pass: new candidates anywhere, waiting ones on machines that have gained room."""
+        fleet = self.fleet
+        preempt = now >= self.next_preempt
+        if not (self.new or fleet.gained or preempt) or not self.waiting:
+            fleet.gained.clear()
+            return
+        if preempt:
+            self.next_preempt = now + PREEMPT_EVERY_S
+        if now >= self.next_revisit:
+            self.next_revisit = now + REVISIT_S
+            self.new.update(jid for _, jid in self.waiting)
+        gained, fleet.gained = fleet.gained, {}
+        failed: Failed = []
+        tries = PREEMPT_AT_ONCE
+        partial_seen = False
+        still: list[tuple[tuple[float, ...], str]] = []
+        for i, (order, jid) in enumerate(self.waiting):
+            if not self.new and not gained and not (preempt and tries):
+                still += self.waiting[i:]
+                partial_seen = True  # not all were seen: whoever holds pieces may still be among the rest
+                break
+            w = self.wants[jid]
+            new = jid in self.new
+            missing = w.n - len(self.tickets.get(jid, ()))
+            if missing > 0 and w.job.kind == "gang":
+                if new or gained or (preempt and tries):
+                    before = missing
+                    missing = self._place_gang(jid, w, missing, not partial_seen, failed, now, (new or preempt) and tries > 0)
+                    tries -= bool((new or preempt) and before)
+                partial_seen = partial_seen or missing > 0
+                if missing <= 0 and self.partial == jid:
+                    self.partial = None
+            elif missing > 0:
+                if new:
+                    missing = self._place(jid, w, missing, None, failed, now)
+                elif gained:
+                    missing = self._place(jid, w, missing, gained, failed, now)
+                if missing > 0 and tries and (new or preempt) and self._could_stop(w):
+                    tries -= 1
+                    missing -= self._preempt(jid, w, missing, now)
+            self.new.discard(jid)
+            if missing > 0:
+                still.append((order, jid))
+        self.waiting = still
+        if not partial_seen:
+            self.partial = None
+
+    def _by_zone(self, jid: str, w: Want) -> dict[str, int] | None:
+        """How many more candidates each zone may take."""
+        if w.zones is None:
+            return None
+        left = dict(w.zones)
+        for t in self.tickets.get(jid, {}).values():
+            left[t.zone] = left.get(t.zone, 0) - 1
+        return left
+
+    def _place(self, jid: str, w: Want, missing: int, only: dict[str, Machine] | None, failed: Failed, now: float,
+               zone: str | None = None) -> int:
+        """Hold room for up to `missing` candidates; what is left over."""
+        job = w.job
+        shape = (job.vec, job.types, job.zone, job.spot)
+        if only is None and zone is None and w.zones is None and not w.avoid and any(
+            s[1:] == shape[1:] and fits(s[0], shape[0]) for s in failed
+        ):
+            return missing  # something no larger has just found no room
+        zones = self._by_zone(jid, w)
+        all_places = [p for p in self.fleet.places(job) if zone is None or p[1] == zone]
+        while missing > 0:
+            places = [p for p in all_places if zones is None or zones.get(p[1], 0) > 0]
+            if only is not None:
+                for name in [n for n, m in only.items() if m.bucket is None]:
+                    del only[name]
+                found = [m for m in only.values() if m.place in places and fits(job.vec, m.free) and m.name not in w.avoid]
+                found = found if len(found) <= 2 * self.sample else self.rng.sample(found, 2 * self.sample)
+            else:
+                found = self.fleet.find(job, places, w.avoid, self.sample, self.rng)
+            found = [m for m in found if not self.fleet.unusable(m, now)]
+            if not found:
+                if only is None and zone is None and zones is None and not w.avoid:
+                    failed.append(shape)
+                break
+            cost, _, _, m = min((*self.score(job, m), m.name, m) for m in found)
+            self.hold(w, m, cost, now)
+            if only is not None and self.fleet.units(m.free, self.fleet.types[m.type]) == 0:
+                only.pop(m.name, None)
+            if zones is not None:
+                zones[m.zone] -= 1
+            missing -= 1
+        return missing
+
+    def _place_gang(self, jid: str, w: Want, missing: int, first: bool, failed: Failed, now: float, may_stop: bool) -> int:
+        """All or nothing, but for the most important gang that waits: that one may hold pieces.
+
+        Gangs that held pieces of one another's room never ran (the grown ardgael-loans: sixteen whole machines in one zone);
+        the first in the queue keeps what it finds, so that it does not starve, and the others take what it leaves.
+        """
+        fleet = self.fleet
+        if first and self.partial != jid:
+            if self.partial is not None and self.partial in self.wants:
+                for t in list(self.tickets.get(self.partial, {}).values()):
+                    self.free(t)
+            self.partial = jid
+        places = fleet.places(w.job)
+        zones = self._by_zone(jid, w)
+        if zones is not None:
+            places = [p for p in places if zones.get(p[1], 0) > 0]
+        if not places:
+            return missing
+        zone: str | None = None
+        held = self.tickets.get(jid, {})
+        if w.job.one_zone:
+            if held:
+                zone = next(iter(held.values())).zone
+            else:
+                bounds = {z: fleet.at_most(w.job.vec, [p for p in places if p[1] == z]) for z in {p[1] for p in places}}
+                zone = max(bounds, key=lambda z: (min(bounds[z], missing), z))
+        bound = fleet.at_most(w.job.vec, [p for p in places if zone is None or p[1] == zone])
+        stoppable = may_stop and self._could_stop(w)
+        if bound < missing and not first and not stoppable:
+            return missing
+        mine = set(held)
+        if bound > 0:
+            missing = self._place(jid, w, missing, None, failed, now, zone)
+        if missing > 0 and stoppable:
+            missing -= self._preempt(jid, w, missing, now, zone)
+        if missing > 0 and not first:
+            for t in [t for t in self.tickets.get(jid, {}).values() if t.id not in mine]:
+                self.free(t, again=False)
+                if (m := fleet.machines.get(t.machine)) is not None:
+                    fleet.look(m, now)
+                    fleet.gained.pop(t.machine, None)  # nothing was gained: trying again at once would find the same
+        return missing
+
+    def score(self, job: Job, m: Machine) -> tuple[float, float]:
+        """Best fit: seconds until it could run, then the room left over; replicas of one job keep apart."""
+        kind = self.fleet.types[m.type]
+        fetch = 0.0
+        if job.image not in m.images:
+            coming = any(p.image == job.image and not p.gone for p in m.permits.values())
+            held = any(t.image == job.image for t in m.tickets.values())
+            fetch = job.image_gb / max(kind.fetch_gb_s, 0.01) * (0.5 if coming else 0.8 if held else 1.0)
+        room = m.free
+        same = 0
+        if job.kind == "service":
+            # services stay long: pack them by what other services leave, so that whole machines fall empty
+            room = m.firm
+            same = sum(1 for k, p in m.permits.items() if k[0] == job.id and not p.gone)
+            same += sum(1 for t in m.tickets.values() if t.job == job.id)
+        left = add(room, job.vec, -1)
+        share = sum(x / c for x, c in zip(left, kind.vec, strict=True) if c > 0)
+        if job.spot and not m.spot:
+            fetch += 20.0  # leave ordinary machines to work that needs them
+        if job.kind == "service":
+            return fetch + 30.0 * same + 4.0 * share, share
+        return fetch, share
+
+    # -- preemption --------------------------------------------------------------------------
+
+    def _could_stop(self, w: Want) -> bool:
+        """Whether there is any work that this candidate may stop."""
+        if w.job.rank >= LEAST_RANK and not w.within:
+            return False
+        return any(self.may_stop(w, i) for i in self.fleet.info.values())
+
+    def may_stop(self, w: Want, info: Info) -> bool:
+        """The published rules of preemption."""
+        if info.rank == 0 or info.kind == "service":
+            return False  # allowed beyond a guarantee, but a replica's user feels it at once
+        if info.rank > w.job.rank:
+            return True
+        # to give a team its guarantee: only where little is lost, not a whole gang
+        return w.within and not info.within and info.team != w.job.team and info.kind == "array"
+
+    def _loss(self, p: Permit, info: Info, now: float) -> float:
+        """Seconds of work lost if it is stopped."""
+        ran = now - p.ran_at if p.ran_at is not None else 0.0
+        return min(ran, info.grace or 0.5 * info.checkpoint_s) if info.checkpoint_s > 0 else ran
+
+    def _preempt(self, jid: str, w: Want, missing: int, now: float, zone: str | None = None) -> int:
+        """Room ready only by stopping less important work: the least lost work first, and only where it is enough.
+
+        One walk over the machines with such work, however many candidates there are.
+        """
+        fleet = self.fleet
+        taken: set[Key] = {v for t in self.preempting.values() for v in t.victims} | self.victims
+        zones = self._by_zone(jid, w)
+        places: set[Place] = set(p for p in fleet.places(w.job) if zone is None or p[1] == zone)
+        ways: list[tuple[float, str, Machine, tuple[Key, ...]]] = []
+        for m in fleet.machines.values():
+            if not m.permits or m.place not in places or m.name in w.avoid or fleet.unusable(m, now):
+                continue
+            if (way := self._way(m, w, taken, now)) is not None:
+                ways.append((way[0], m.name, m, way[1]))
+        heapq.heapify(ways)
+        found = 0
+        while ways and found < missing:
+            loss, _, m, victims = heapq.heappop(ways)
+            if zones is not None:
+                if zones.get(m.zone, 0) <= 0:
+                    continue
+                zones[m.zone] -= 1
+            taken.update(victims)
+            self.hold(w, m, loss, now, victims)
+            found += 1
+            if (way := self._way(m, w, taken, now)) is not None:
+                heapq.heappush(ways, (way[0], m.name, m, way[1]))
+        return found
+
+    def _way(self, m: Machine, w: Want, taken: set[Key], now: float) -> tuple[float, tuple[Key, ...]] | None:
+        """The cheapest way to make room on one machine: what it costs, and what it stops."""
+        options = []
+        room = m.free
+        for key, p in m.permits.items():
+            info = self.fleet.info.get(key[0])
+            if key in taken:
+                if occupies(p, m.tasks.get(key)):
+                    room = add(room, p.vec)  # it goes for a start whose room is counted already
+                continue
+            if info is None or p.gone or p.refused or p.stop is not None or p.evict:
+                continue
+            if self.may_stop(w, info) and key in m.tasks and m.tasks[key].state in ("running", "fetching"):
+                options.append((self._loss(p, info, now) + (1000.0 if info.kind == "gang" else 0.0), key, p))
+        chosen: list[Key] = []
+        loss = 0.0
+        for cost, key, p in sorted(options, key=lambda x: x[:2]):
+            if fits(w.job.vec, room):
+                break
+            room = add(room, p.vec)
+            chosen.append(key)
+            loss += cost
+        if not chosen or not fits(w.job.vec, room):
+            return None
+        return loss + 0.3 * self.score(w.job, m)[0], tuple(chosen)
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -9,13 +9,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ploverhall.coordination.owner import Vec, add, fits
+from ploverhall.coordination.fleet import Place as Kind
+from ploverhall.coordination.fleet import Vec, add, fits
 from ploverhall.protocol.cloud import Listed, MachineType
 from ploverhall.protocol.jobs import Job, from_record
+from ploverhall.protocol.peers import DemandNews, MachineNews
 
 SLOT_S = 15.0  # arrivals are counted in slots of this length
-Kind = tuple[str, str, bool]  # type, zone, spot
-Bins = list[tuple[Kind, list[float]]]  # machines by kind, with the room left in each
 
 
 @dataclass(slots=True)
@@ -27,7 +27,7 @@
     since: float
     listed: str = ""  # the cloud's state for it
     age_s: float = 0.0
-    view: list[Any] | None = None  # an owner's, while a worker reports
+    view: MachineNews | None = None  # an owner's, while a worker reports
     view_at: float = 0.0
     part: int = -1
     idle_since: float | None = None
@@ -35,6 +35,51 @@
     drain: bool = False
 
 
+@dataclass(slots=True)
+class Demand:
+    """A job's tasks that wait."""
+
+    job: Job
+    n: int
+    zones: dict[str, int] | None
+    order: tuple[float, ...]
+
+
+class Bins:
+    """Room by kind of machine, alike rooms counted as one: what is put in costs by how many rooms differ."""
+
+    def __init__(self) -> None:
+        self.rooms: dict[Kind, dict[Vec, int]] = {}
+
+    def add(self, kind: Kind, room: Vec, n: int = 1) -> None:
+        """n more rooms of this size."""
+        rooms = self.rooms.setdefault(kind, {})
+        rooms[room] = rooms.get(room, 0) + n
+        if not rooms[room]:
+            del rooms[room]
+
+    def put(self, vec: Vec, n: int, kind: Kind) -> int:
+        """Put up to n alike tasks into rooms of one kind, the smallest first; how many went in."""
+        rooms = self.rooms.get(kind)
+        left = n
+        while left > 0 and rooms:
+            room = min((r for r in rooms if fits(vec, r)), default=None)
+            if room is None:
+                break
+            # as many rooms at once as are alike and each takes all it can
+            each = 1
+            rest = add(room, vec, -1)
+            while each < left and fits(vec, rest):
+                rest = add(rest, vec, -1)
+                each += 1
+            times = min(rooms[room], left // each) or 1
+            self.add(kind, room, -times)
+            if any(x > 1e-3 for x in rest):
+                self.add(kind, rest, times)
+            left -= times * each
+        return n - left
+
+
 @dataclass(slots=True)
 class Rent:
     """Rent up to count machines."""
@@ -60,8 +105,8 @@
         self.started = now
         self.types: dict[str, MachineType] = {}
         self.machines: dict[str, Rented] = {}
-        self.demand: dict[int, dict[str, Any]] = {}
-        self.views: dict[int, dict[str, Any]] = {}
+        self.demand: dict[tuple[int, str], Demand] = {}
+        self.load: dict[Kind, int] = {}  # machines by kind
         self.suspects: dict[str, float] = {}
         self.refused: dict[Kind, tuple[float, float]] = {}  # until, length of the last pause
         self.gone: dict[str, float] = {}
@@ -77,33 +122,55 @@
 
     # -- inputs ------------------------------------------------------------------------------
 
-    def on_source(self, src: int, state: dict[str, Any]) -> None:
+    def on_source(self, src: int, full: bool, changes: dict[str, Any]) -> None:
         """A source's waiting tasks."""
-        self.demand[src] = state
+        if full:
+            for key in [k for k in self.demand if k[0] == src and k[1] not in changes]:
+                del self.demand[key]
+        for jid, value in changes.items():
+            if value is None:
+                self.demand.pop((src, jid), None)
+            else:
+                news = DemandNews(*value)
+                old = self.demand.get((src, jid))
+                job = old.job if old is not None else from_record(news.record)
+                self.demand[src, jid] = Demand(job, news.n, news.zones, tuple(news.order))
 
-    def on_owner(self, part: int, state: dict[str, Any], now: float) -> None:
+    def on_owner(self, part: int, full: bool, changes: dict[str, Any], now: float) -> None:
         """An owner's machines, and those it can't prove anything about ("?")."""
-        asked = set(state.get("?") or ())
-        for name in asked:
+        for name in changes.get("?") or ():
             self.suspects.setdefault(name, now)
-        view = {k: v for k, v in state.items() if k != "?"}
-        for name in self.views.get(part, {}):
-            if name not in view and name in self.machines and self.machines[name].part == part:
-                self.machines[name].view = None
-                self.machines[name].view_at = now
-                self.machines[name].idle_since = None
-        self.views[part] = view
-        for name, v in view.items():
-            m = self.machines.get(name)
-            if m is None:
+        if full:
+            for m in [m for m in self.machines.values() if m.part == part and m.view is not None and m.name not in changes]:
+                self._unseen(m, now)
+        for name, value in changes.items():
+            if name == "?":
+                continue
+            known = self.machines.get(name)
+            if value is None:
+                if known is not None and known.part == part:
+                    self._unseen(known, now)
+                continue
+            view = MachineNews(*value)
+            if known is None:
                 if name in self.gone:
                     continue
-                m = self.machines[name] = Rented(name, (v[0], v[1], bool(v[2])), now)
-            m.view, m.part, m.view_at = v, part, now
-            if v[4]:
-                m.idle_since = m.idle_since if m.idle_since is not None else now
-            else:
-                m.idle_since = None
+                known = self._add(Rented(name, (view.type, view.zone, bool(view.spot)), now))
+            known.view, known.part, known.view_at = view, part, now
+            if not view.empty:
+                known.idle_since = None
+            elif known.idle_since is None:
+                known.idle_since = now
+
+    def _unseen(self, m: Rented, now: float) -> None:
+        """No worker reports from it any more."""
+        if m.view is not None:
+            m.view, m.view_at, m.idle_since = None, now, None
+
+    def _add(self, m: Rented) -> Rented:
+        self.machines[m.name] = m
+        self.load[m.kind] = self.load.get(m.kind, 0) + 1
+        return m
 
     def on_job(self, job: Job, now: float) -> None:
         """A job was accepted: what comes often needs room that is ready."""
@@ -115,7 +182,7 @@
         """The cloud's answer to a request."""
         for name in names:
             if name not in self.machines:
-                self.machines[name] = Rented(name, kind, now)
+                self._add(Rented(name, kind, now))
         if len(names) < asked:
             self.on_refused(kind, now)
         else:
@@ -136,7 +203,7 @@
                 continue
             m = self.machines.get(it.name)
             if m is None:
-                m = self.machines[it.name] = Rented(it.name, (it.type, it.zone, it.spot), now - it.age_s)
+                m = self._add(Rented(it.name, (it.type, it.zone, it.spot), now - it.age_s))
             m.listed, m.age_s = it.state, it.age_s
         old = 2.0 * self.lag_s + 1.0
         for name, m in list(self.machines.items()):
@@ -150,7 +217,9 @@
     def on_gone(self, names: list[str], now: float) -> None:
         """These machines are gone for certain."""
         for name in names:
-            self.machines.pop(name, None)
+            m = self.machines.pop(name, None)
+            if m is not None:
+                self.load[m.kind] -= 1
             self.suspects.pop(name, None)
             self.gone[name] = now
         while len(self.gone) > 2000:
@@ -169,8 +238,8 @@
 
     def _returns(self, now: float, out: Plan) -> None:
         for m in self.machines.values():
-            kind = self.types.get(m.kind[0])
-            boot = kind.boot_s if kind else 60.0
+            sold = self.types.get(m.kind[0])
+            boot = sold.boot_s if sold else 60.0
             silent = now - max(m.since, m.view_at)
             if m.returning or m.listed == "failed":
                 out.give_back.append(m.name)
@@ -178,21 +247,29 @@
                 out.give_back.append(m.name)  # it never comes up, and is charged until it is deleted
             elif m.view is None and m.listed == "running" and silent > 60 + 2 * self.lease_s and now - self.started > 60:
                 out.give_back.append(m.name)  # up, charged, and no worker reports
-            elif m.view is not None and m.view[4] and m.view[5]:
+            elif m.view is not None and m.view.empty and m.view.draining:
                 out.give_back.append(m.name)  # drained
-            elif m.view is not None and m.view[7]:
+            elif m.view is not None and m.view.faulty:
                 m.drain = True  # faulty: used up, then replaced
-        needed = any(self._urgent(from_record(v[0])) for state in self.demand.values() for v in state.values())
+        needed = any(self._urgent(d.job) for d in self.demand.values())
         out_of_use = [
             m for m in self.machines.values()
             if m.view is not None and not m.drain and not m.returning and now - m.since > 60.0
-            and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view[8] and not needed))
+            and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view.firm and not needed))
         ]  # fmt: skip
+        ordinary: dict[Kind, list[Rented]] = {}
         for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), m.since)):
+            if m.kind[2]:
+                m.drain = True
+            else:
+                ordinary.setdefault(m.kind, []).append(m)
+        if ordinary:
             # an ordinary machine that only runs work that could be on cheap ones is let go when that ends,
             # unless what is likely to come soon would miss it
-            if m.kind[2] or self._enough(now, but=m.name):
-                m.drain = True
+            spare = self._spare(now, {m.name for ms in ordinary.values() for m in ms})
+            for kind, ms in ordinary.items():
+                for m in ms[: spare.get(kind, 0)]:
+                    m.drain = True
 
     def _price(self, kind: Kind) -> float:
         t = self.types.get(kind[0])
@@ -223,35 +300,44 @@
             out.append((job, max(1, math.ceil(mean + self.spare * math.sqrt(mean)))))
         return sorted(out, key=lambda x: -max(x[0].vec))
 
-    def _bins(self, now: float, but: str = "") -> tuple[Bins, Bins]:
+    def _bins(self, now: float, but: set[str]) -> tuple[Bins, Bins]:
         """Free and coming room; and the same with the room of work that may be stopped."""
-        bins: Bins = []
-        firm: Bins = []
+        bins, firm = Bins(), Bins()
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
-            if t is None or m.drain or m.returning or m.name == but:
+            if t is None or m.drain or m.returning or m.name in but:
                 continue
-            if m.view is not None:
-                if not (m.view[5] or m.view[6] or m.view[7]):
-                    bins.append((m.kind, list(m.view[3])))
-                    firm.append((m.kind, list(m.view[9])))
+            if (v := m.view) is not None:
+                if not (v.draining or v.notice or v.faulty):
+                    bins.add(m.kind, (v.room[0], v.room[1], v.room[2]))
+                    firm.add(m.kind, (v.firm_room[0], v.firm_room[1], v.firm_room[2]))
             elif self._coming(m, now):
-                room = list(t.vec)
-                bins.append((m.kind, room))
-                firm.append((m.kind, room))  # the same room, whoever takes it
+                bins.add(m.kind, t.vec)
+                firm.add(m.kind, t.vec)  # the same room, whoever takes it
         return bins, firm
 
-    def _items(self) -> list[tuple[Any, Job, int, dict[str, int] | None]]:
+    def _items(self) -> list[Demand]:
         """What waits, most important first."""
-        items = [(v[3], from_record(v[0]), v[1], v[2]) for state in self.demand.values() for v in state.values()]
-        return sorted(items, key=lambda x: x[0])
+        return sorted(self.demand.values(), key=lambda d: d.order)
 
-    def _enough(self, now: float, but: str) -> bool:
-        """Whether what waits and what is likely to come has room without one machine."""
+    def _spare(self, now: float, but: set[str]) -> dict[Kind, int]:
+        """How many of these machines are in nobody's way, by kind: what waits and what is likely to come has room without them."""
         _, firm = self._bins(now, but)
-        firm = [(k, r) for k, r in firm if not k[2]]
-        wanted = [(job, n) for _, job, n, _ in self._items() if not job.spot] + self._forecast(now)
-        return all(self._into(job, n, None, firm)[0] == 0 for job, n in wanted)
+        have: dict[Kind, int] = {}
+        for name in but:
+            place = self.machines[name].kind
+            have[place] = have.get(place, 0) + 1
+        wanted = [(d.job, d.n, d.zones) for d in self._items() if not d.job.spot] + [(job, n, None) for job, n in self._forecast(now)]
+        for job, n, zones in wanted:
+            left = self._into(job, n, zones, firm, spot=False)[0]
+            for kind in have:
+                if left > 0 and have[kind] > 0 and self._ok(job, kind):
+                    # the machines in question take what finds no room elsewhere: so many of them stay
+                    while left > 0 and have[kind] > 0:
+                        have[kind] -= 1
+                        firm.add(kind, self.types[kind[0]].vec)
+                        left = self._into(job, left, zones, firm, spot=False)[0]
+        return have
 
     def _urgent(self, job: Job) -> bool:
         """Whether work that may use cheap machines can't wait for one: its deadline would be missed."""
@@ -266,48 +352,51 @@
             now - m.since < 2.5 * boot + 15 and m.view_at == 0.0)
 
     def _rents(self, now: float, out: Plan) -> None:
-        bins, firm = self._bins(now)
+        bins, firm = self._bins(now, set())
         new: dict[Kind, int] = {}
-        work = [(job, n, dict(z) if z is not None else None) for _, job, n, z in self._items()]
+        work = [(d.job, d.n, dict(d.zones) if d.zones is not None else None) for d in self._items()]
         for job, n, zones in work + [(job, n, None) for job, n in self._forecast(now)]:
             mine, other = (bins, firm) if job.spot else (firm, bins)
-            before = len(mine)
-            self._fill(job, n, zones, mine, new, now)
-            other += mine[before:]
-        out.rent = [Rent(kind, min(n, 50)) for kind, n in new.items()]
+            for kind, count in self._fill(job, n, zones, mine, new, now).items():
+                other.add(kind, self.types[kind[0]].vec, count)
+        out.rent = [Rent(kind, min(50, n - i)) for kind, n in new.items() for i in range(0, n, 50)]
 
     def _paused(self, kind: Kind, now: float) -> bool:
         return self.refused.get(kind, (0.0, 0.0))[0] > now
 
-    def _into(self, job: Job, n: int, zones: dict[str, int] | None, bins: Bins) -> tuple[int, dict[str, int] | None]:
+    def _into(self, job: Job, n: int, zones: dict[str, int] | None, bins: Bins,
+              spot: bool = True) -> tuple[int, dict[str, int] | None]:
         """Put up to n tasks into bins; what is left over, and how much each zone may still take."""
-        for kind, room in bins:
-            if not self._ok(job, kind):
-                continue
-            while n > 0 and fits(job.vec, (room[0], room[1], room[2])) and (zones is None or zones.get(kind[1], 0) > 0):
-                room[:] = add((room[0], room[1], room[2]), job.vec, -1)
-                n -= 1
-                if zones is not None:
-                    zones[kind[1]] -= 1
-                    if job.one_zone:
-                        zones = {z: (c if z == kind[1] else 0) for z, c in zones.items()}
+        kinds = sorted((k for k in bins.rooms if self._ok(job, k) and (spot or not k[2])), key=lambda k: (not k[2], k))
+        for kind in kinds:
+            most = n if zones is None else min(n, zones.get(kind[1], 0))
+            got = bins.put(job.vec, most, kind) if most > 0 else 0
+            n -= got
+            if zones is not None and got:
+                zones = {z: c - got if z == kind[1] else 0 if job.one_zone else c for z, c in zones.items()}
+            if n <= 0:
+                break
         return n, zones
 
     def _fill(self, job: Job, n: int, zones: dict[str, int] | None, bins: Bins,
-              new: dict[Kind, int], now: float) -> None:
-        """Put waiting tasks into free and coming room first, then into machines to be rented."""
+              new: dict[Kind, int], now: float) -> dict[Kind, int]:
+        """Put waiting tasks into free and coming room first, then into machines to be rented: these, by kind."""
         n, zones = self._into(job, min(n, 2000), zones, bins)
+        rented: dict[Kind, int] = {}
         while n > 0:
             kind = self._choose(job, zones, new, now)
             if kind is None:
-                return
+                break
+            bins.add(kind, self.types[kind[0]].vec)
+            got = bins.put(job.vec, n if zones is None else min(n, zones.get(kind[1], 0)), kind)
+            if not got:
+                break
             new[kind] = new.get(kind, 0) + 1
-            fresh = (kind, list(self.types[kind[0]].vec))
-            left, zones = self._into(job, n, zones, [fresh])
-            if left == n:
-                return
-            n = left
-            bins.append(fresh)
+            rented[kind] = rented.get(kind, 0) + 1
+            n -= got
+            if zones is not None:
+                zones = {z: c - got if z == kind[1] else 0 if job.one_zone else c for z, c in zones.items()}
+        return rented
 
     def _ok(self, job: Job, kind: Kind) -> bool:
         return (job.types is None or kind[0] in job.types) and (job.zone is None or job.zone == kind[1]) and (job.spot or not kind[2])
@@ -325,7 +414,7 @@
                     if self._paused((t.name, z, spot), now):
                         continue
                     price = (t.spot_price if spot else t.price) * per
-                    load = sum(1 for m in self.machines.values() if m.kind == (t.name, z, spot)) + new.get((t.name, z, spot), 0)
+                    load = self.load.get((t.name, z, spot), 0) + new.get((t.name, z, spot), 0)
                     options.append((price, load, (t.name, z, spot)))
         return min(options)[2] if options else None
 
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -2,31 +2,38 @@
 
 Every outstanding permit stands in the team's cell in the state service before an owner hears of it,
 and leaves the cell only when that start is proven gone. No I/O: transactions come out as values and
-their outcomes are passed in.
+their outcomes are passed in. Work follows what has changed: a job with news, a chunk that is dirty,
+a team whose use moved; never all jobs or all entries.
 """
 
 from __future__ import annotations
 
 import base64
 import heapq
-from collections.abc import Callable
+from bisect import insort
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
 from ploverhall.bookkeeping.replica import END, JOB, SHARD, cell_prefix, progress_prefix
-from ploverhall.coordination.owner import EPS, Vec, add
+from ploverhall.coordination.fleet import EPS, Vec, add
+from ploverhall.protocol import peers
 from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.peers import Candidate, DemandNews, JobNews, OfferNews, PermitNews, StartNews
 from ploverhall.settings import Team
 
 ATTEMPT_BITS = 28
 PROGRESS_TASKS = 8192  # tasks whose bits share one value: about 1.4 KB
 PATIENCE_S = 0.06  # how long a worse answer waits for a better one: a few round trips between controllers
-ENTRY_BYTES = 150  # more than any entry takes with an ordinary name
+FILL = 0.92  # of a value's limit that a chunk may take; the rest is room for what json may add
+TXN_BYTES = 56_000  # of the 64 KiB a transaction may take
+TEAM_EVERY_S = 0.2  # how often a team's waiting jobs are held against its limit anew
+REVISIT_S = 1.0  # how often every job with offers is decided anew, whatever has been seen to change
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Entry:
     """One outstanding permit."""
 
@@ -38,7 +45,7 @@
     zone: str
     epoch: int  # of the owner whose offer this is
     ticket: int
-    chunk: int
+    chunk: Chunk
     landed: bool = False
     state: str = "permitted"
     why: str = ""
@@ -46,10 +53,65 @@
     notice: int = 0  # 1: its machine goes, 2: its room is needed
     stop: float | None = None
     over: bool = False  # exited and recorded here, or proven gone: to be taken out of the cell
-    since: float = 0.0
 
+    def record(self) -> list[Any]:
+        """The form kept in the cell."""
+        return [self.task, self.attempt, self.machine, self.part, self.zone, self.epoch, self.ticket]
 
-@dataclass(slots=True)
+    @property
+    def running(self) -> bool:
+        """Whether users are told that it runs."""
+        return not self.over and self.state in ("running", "saving")
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    """One value of a team's cell, with its size as it will be encoded."""
+
+    team: str
+    index: int
+    version: int = 0
+    entries: dict[tuple[str, int], Entry] = field(default_factory=dict)
+    jobs: dict[str, int] = field(default_factory=dict)  # entries by job
+    size: int = 2
+
+    @property
+    def key(self) -> str:
+        """Where it is kept."""
+        return f"{cell_prefix(self.team)}{self.index}"
+
+    def put(self, e: Entry, vec: Vec) -> None:
+        """Take an entry in."""
+        self.entries[e.job, e.task] = e
+        if e.job not in self.jobs:
+            self.size += header_bytes(e.job, vec)
+        self.jobs[e.job] = self.jobs.get(e.job, 0) + 1
+        self.size += entry_bytes(e)
+        e.chunk = self
+
+    def drop(self, e: Entry, vec: Vec) -> None:
+        """Take an entry out."""
+        if self.entries.get((e.job, e.task)) is not e:
+            return
+        del self.entries[e.job, e.task]
+        self.size -= entry_bytes(e)
+        self.jobs[e.job] -= 1
+        if not self.jobs[e.job]:
+            del self.jobs[e.job]
+            self.size -= header_bytes(e.job, vec)
+
+
+def entry_bytes(e: Entry) -> int:
+    """What an entry takes in its chunk's value, as encoded."""
+    return len(orjson.dumps(e.record())) + 1
+
+
+def header_bytes(job: str, vec: Vec) -> int:
+    """What a job takes in a chunk's value besides its entries."""
+    return len(orjson.dumps({job: [list(vec), []]}))
+
+
+@dataclass(slots=True, eq=False)
 class Offer:
     """Room that an owner holds for a candidate."""
 
@@ -62,7 +124,7 @@
     victims: int
 
 
-@dataclass
+@dataclass(eq=False)
 class JobState:
     """A job while it is live or has tasks somewhere."""
 
@@ -72,6 +134,10 @@
     job: Job | None = None  # None: over, only its tasks remain
     version: int = 0
     entries: dict[int, Entry] = field(default_factory=dict)  # by task; one start of a task at a time
+    zones: dict[str, int] = field(default_factory=dict)  # entries by zone
+    unlanded: dict[int, int] = field(default_factory=dict)  # permits being written, by part
+    tickets: set[tuple[int, int, int]] = field(default_factory=set)  # part, epoch and ticket of its entries
+    running: int = 0
     done: bytearray = field(default_factory=bytearray)
     done_count: int = 0
     dirty_progress: set[int] = field(default_factory=set)
@@ -85,7 +151,7 @@
     last_failure: str = ""
     complete: bool = False  # every task done; the record of it is still to be written
     blocked: bool = False  # its key changed under a write: wait for the watch
-    within: bool = True
+    within: bool = False  # of its team's guarantee, together with the team's earlier jobs
     since: float = 0.0
 
     @property
@@ -131,6 +197,15 @@
             heapq.heappush(self.again, task)
 
 
+@dataclass(slots=True)
+class ChunkWrite:
+    """What one write does to one chunk."""
+
+    chunk: Chunk
+    adds: list[Entry] = field(default_factory=list)
+    removes: list[Entry] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Txn:
     """One write: what it guards on, what it changes, and what it means here when it lands."""
@@ -138,11 +213,20 @@
     guards: dict[str, int]
     puts: dict[str, Any]
     deletes: list[str]
-    teams: list[str] = field(default_factory=list)
-    adds: list[Entry] = field(default_factory=list)
-    removes: list[Entry] = field(default_factory=list)
+    chunks: list[ChunkWrite] = field(default_factory=list)
     progress: list[tuple[JobState, int]] = field(default_factory=list)
     ends: list[JobState] = field(default_factory=list)
+    size: int = 400
+
+    @property
+    def ops(self) -> int:
+        """Puts and deletes."""
+        return len(self.puts) + len(self.deletes)
+
+    @property
+    def adds(self) -> list[Entry]:
+        """The permits that this write lands."""
+        return [e for c in self.chunks for e in c.adds]
 
 
 class Source:
@@ -153,17 +237,28 @@
         self.teams = {t.name: t for t in teams}
         self.zones = zones
         self.txn_ops = txn_ops
-        self.per_chunk = max(1, int(value_bytes * 0.85) // ENTRY_BYTES)
+        self.chunk_bytes = min(int(value_bytes * FILL), TXN_BYTES // 2)
         self.jobs: dict[str, JobState] = {}
-        self.chunks: dict[str, dict[int, int]] = {t.name: {} for t in teams}  # team -> chunk -> version
-        self.chunk_entries: dict[str, dict[int, set[tuple[str, int]]]] = {t.name: {} for t in teams}
-        self.dirty_chunks: dict[str, set[int]] = {t.name: set() for t in teams}
+        self.chunks: dict[str, dict[int, Chunk]] = {t.name: {} for t in teams}
+        self.dirty_chunks: dict[Chunk, bool] = {}  # to be written; True: holds permits that wait for it
+        self.ending: dict[str, JobState] = {}  # complete, the record of it is still to be written
+        self.garbage: list[str] = []  # progress records of jobs that are over
         self.used: dict[str, Vec] = {t.name: (0.0, 0.0, 0.0) for t in teams}
-        self.changed: set[str] = set()  # jobs whose board entries must be made anew
+        self.by_age: dict[str, list[tuple[float, str]]] = {t.name: [] for t in teams}  # live jobs, oldest first
+        self.within: dict[str, set[str]] = {t.name: set() for t in teams}
+        self.waits: dict[str, dict[str, JobState]] = {t.name: {} for t in teams}  # jobs with tasks that wait
+        self.offer_job: dict[tuple[int, int], str] = {}
+        self.changed: set[str] = set()  # jobs that owners must hear of
+        self.counted: set[str] = set()  # jobs whose numbers for display have changed
+        self.permit_news: dict[tuple[int, str], PermitNews | None] = {}
+        self.hot: set[str] = set()  # jobs to decide
+        self.moved: set[str] = set()  # teams whose use has changed
         self.reorder: set[str] = set(self.teams)
+        self.retries: list[tuple[float, str]] = []
+        self.next_team = self.next_revisit = 0.0
         self.attempts = 0
         self.impatient = False  # a worse answer is being held back for a moment
-        self.dirty = True
+        self.visits = 0  # jobs and entries looked at: what the tests of growth count
         self.note: Callable[..., None] = lambda *a, **k: None
 
     # -- starting ----------------------------------------------------------------------------
@@ -171,38 +266,40 @@
     def install_cell(self, team: str, found: dict[str, tuple[Any, int]], now: float) -> None:
         """Take in a team's cell as read: at the start, and whenever a write's outcome is unknown."""
         seen: set[tuple[str, int, int]] = set()
+        old = self.chunks[team]
+        for chunk in old.values():
+            self.dirty_chunks.pop(chunk, None)
         self.chunks[team] = {}
         for key, (value, version) in found.items():
-            chunk = int(key.rsplit("/", 1)[1])
-            self.chunks[team][chunk] = version
+            chunk = Chunk(team, int(key.rsplit("/", 1)[1]), version)
+            self.chunks[team][chunk.index] = chunk
             for jid, (vec, entries) in value.items():
-                js = self.jobs.get(jid)
-                if js is None:
-                    js = self.jobs[jid] = JobState(jid, team, (vec[0], vec[1], vec[2]), since=now)
                 for task, attempt, machine, part, zone, epoch, ticket in entries:
+                    js = self.jobs.get(jid)
+                    if js is None:
+                        js = self.jobs[jid] = JobState(jid, team, (vec[0], vec[1], vec[2]), since=now)
                     seen.add((jid, task, attempt))
                     e = js.entries.get(task)
                     if e is not None and e.attempt == attempt:
-                        if not e.landed:
-                            e.landed = True
-                            self.changed.add(jid)
-                        continue
-                    if e is not None:
-                        self._remove(js, e)
-                        self.jobs[jid] = js
-                    e = Entry(jid, task, attempt, machine, part, zone, epoch, ticket, chunk, landed=True, since=now)
-                    if js.job is None:
-                        e.stop = 0.0
-                    self._insert(js, e)
-                    self.changed.add(jid)
-        for js in list(self.jobs.values()):
-            if js.team == team:
-                for e in list(js.entries.values()):
-                    if (e.job, e.task, e.attempt) not in seen:
-                        self._remove(js, e)  # it never landed, or its removal did
-                        js.put_back(e.task)
-        self.dirty_chunks[team] = {e.chunk for js in self.jobs.values() if js.team == team for e in js.entries.values() if e.over}
-        self.dirty = True
+                        chunk.put(e, js.vec)
+                        self._land(js, e)
+                    else:
+                        if e is not None:
+                            self._remove(js, e)
+                            self.jobs[jid] = js
+                        e = Entry(jid, task, attempt, machine, part, zone, epoch, ticket, chunk, landed=True)
+                        if js.job is None:
+                            e.stop = 0.0
+                        self._insert(js, e)
+                        self._tell(e)
+                    if e.over:
+                        self.dirty_chunks.setdefault(chunk, False)
+        for chunk in old.values():
+            for e in list(chunk.entries.values()):
+                js = self.jobs.get(e.job)
+                if js is not None and js.entries.get(e.task) is e and (e.job, e.task, e.attempt) not in seen:
+                    self._remove(js, e)  # it never landed, or its removal did
+                    js.put_back(e.task)
 
     def install_progress(self, team: str, found: dict[str, tuple[Any, int]]) -> None:
         """Take in what is recorded of a team's unfinished arrays. Live jobs must be known by now."""
@@ -210,6 +307,7 @@
             jid, _, chunk = key[len(progress_prefix(team)) :].rpartition("/")
             js = self.jobs.get(jid)
             if js is None or js.job is None:
+                self.garbage.append(key)
                 continue
             base = int(chunk) * PROGRESS_TASKS
             js.stored_progress.add(int(chunk))
@@ -219,19 +317,26 @@
                     if byte & (1 << bit) and task < js.n:
                         js.mark(task)
             js.dirty_progress.clear()
+            if js.job.kind == "array" and js.done_count == js.n:
+                self._complete(js)
 
     def on_job(self, job: Job | None, jid: str, version: int, now: float) -> None:
         """The watch brought a job of this shard's teams, or its end (None)."""
         js = self.jobs.get(jid)
-        self.dirty = True
         self.changed.add(jid)
+        self.counted.add(jid)
         if job is None:
             if js is None:
                 return
+            if js.job is not None:
+                self.by_age[js.team].remove((js.job.at, jid))
+                self.garbage += [f"{progress_prefix(js.team)}{jid}/{k}" for k in js.stored_progress | js.dirty_progress]
             self.reorder.add(js.team)
-            js.job, js.version, js.offers = None, 0, {}
+            self.ending.pop(jid, None)
+            js.job, js.version = None, 0
+            self._drop_offers(js)
             for e in js.entries.values():
-                e.stop = 0.0
+                self._stop(e, 0.0)
             if not js.entries:
                 del self.jobs[jid]
             return
@@ -239,77 +344,146 @@
         if js is None:
             js = self.jobs[jid] = JobState(jid, job.team, job.vec, since=now)
         if js.job is None:
+            insort(self.by_age[job.team], (job.at, jid))
             for e in js.entries.values():
                 e.stop = None
+                self._tell(e)
         js.job, js.version, js.vec, js.blocked = job, version, job.vec, False
 
     # -- entries -----------------------------------------------------------------------------
 
     def _insert(self, js: JobState, e: Entry) -> None:
         js.entries[e.task] = e
+        js.zones[e.zone] = js.zones.get(e.zone, 0) + 1
+        js.tickets.add((e.part, e.epoch, e.ticket))
+        if not e.landed:
+            js.unlanded[e.part] = js.unlanded.get(e.part, 0) + 1
         self.used[js.team] = add(self.used[js.team], js.vec)
-        self.chunk_entries[js.team].setdefault(e.chunk, set()).add((e.job, e.task))
+        e.chunk.put(e, js.vec)
+        self.changed.add(js.id)
+        self.moved.add(js.team)
 
     def _remove(self, js: JobState, e: Entry) -> None:
         del js.entries[e.task]
+        js.zones[e.zone] -= 1
+        if not js.zones[e.zone]:
+            del js.zones[e.zone]
+        js.tickets.discard((e.part, e.epoch, e.ticket))
+        if not e.landed:
+            self._landed_one(js, e)
+        else:
+            self.permit_news[e.part, peers.permit_key((e.job, e.task, e.attempt))] = None
         self.used[js.team] = add(self.used[js.team], js.vec, -1)
-        self.chunk_entries[js.team][e.chunk].discard((e.job, e.task))
+        e.chunk.drop(e, js.vec)
+        js.running -= e.running
         self.changed.add(js.id)
-        self.dirty = True
+        self.counted.add(js.id)
+        self.moved.add(js.team)
+        if js.offers:
+            self.hot.add(js.id)
         if js.job is None and not js.entries:
             self.jobs.pop(js.id, None)
 
-    def _room_chunk(self, team: str) -> int:
-        c = 0
-        while len(self.chunk_entries[team].get(c, ())) >= self.per_chunk:
-            c += 1
-        return c
+    def _landed_one(self, js: JobState, e: Entry) -> None:
+        js.unlanded[e.part] -= 1
+        if not js.unlanded[e.part]:
+            del js.unlanded[e.part]
+
+    def _land(self, js: JobState, e: Entry) -> None:
+        """A permit is in the cell: its owner may hear of it."""
+        if not e.landed:
+            self._landed_one(js, e)
+            e.landed = True
+            self.changed.add(js.id)
+        if js.job is None and not e.over:
+            e.stop = 0.0  # its job ended while the write was on its way
+        self._tell(e)
+
+    def _tell(self, e: Entry) -> None:
+        """The owner of a permit must hear of it."""
+        if e.landed:
+            self.permit_news[e.part, peers.permit_key((e.job, e.task, e.attempt))] = PermitNews(e.machine, e.epoch, e.ticket, e.stop)
+
+    def _stop(self, e: Entry, grace: float) -> None:
+        if e.stop != grace:
+            e.stop = grace
+            self._tell(e)
+
+    def _chunk_for(self, team: str, size: int) -> Chunk:
+        """A chunk with that much room: one that is to be written anyway, else any, else a new one."""
+        chunks = self.chunks[team]
+        best: Chunk | None = None
+        for chunk in chunks.values():
+            if chunk.size + size <= self.chunk_bytes:
+                if chunk in self.dirty_chunks:
+                    return chunk
+                best = best or chunk
+        if best is None:
+            index = 0
+            while index in chunks:
+                index += 1
+            best = chunks[index] = Chunk(team, index)
+        return best
 
     # -- what owners tell --------------------------------------------------------------------
 
     def on_owner(self, part: int, epoch: int, full: bool, changes: dict[str, Any], now: float) -> None:
         """An owner's board: offers, and what became of permits."""
         if full:
-            for js in self.jobs.values():
-                if js.id not in changes:
-                    js.offers = {k: o for k, o in js.offers.items() if k[0] != part}
-        for jid, view in changes.items():
-            known = self.jobs.get(jid)
-            if known is None:
-                continue
-            js = known
-            js.offers = {k: o for k, o in js.offers.items() if k[0] != part}
-            if view is None:
-                continue
-            for ticket, machine, zone, cost, victims in view["o"]:
-                js.offers[part, ticket] = Offer(part, epoch, ticket, machine, zone, cost, victims)
-            for task, attempt, state, why, saved, notice in view["t"]:
-                e = js.entries.get(task)
-                if e is not None and e.attempt == attempt and e.part == part and e.landed and epoch >= e.epoch:
-                    self._status(js, e, state, why, bool(saved), int(notice), now)
-        self.dirty = True
-
-    def _status(self, js: JobState, e: Entry, state: str, why: str, saved: bool, notice: int, now: float) -> None:
-        if e.over or (state == e.state and why == e.why and notice == e.notice):
+            for k in [k for k in self.offer_job if k[0] == part and peers.offer_key(k[1]) not in changes]:
+                self._drop_offer(k)
+        for key, value in changes.items():
+            if key[0] == peers.OFFER:
+                self._offer(part, epoch, int(key[1:]), OfferNews(*value) if value is not None else None)
+            elif key[0] == peers.START and value is not None:
+                job, task, attempt = peers.split_key(key)
+                js = self.jobs.get(job)
+                e = js.entries.get(task) if js is not None else None
+                if js is not None and e is not None and e.attempt == attempt and e.part == part and e.landed and epoch >= e.epoch:
+                    self._status(js, e, StartNews(*value), now)
+
+    def _offer(self, part: int, epoch: int, ticket: int, news: OfferNews | None) -> None:
+        self._drop_offer((part, ticket))
+        js = self.jobs.get(news.job) if news is not None else None
+        if news is not None and js is not None and js.job is not None and (part, epoch, ticket) not in js.tickets:
+            js.offers[part, ticket] = Offer(part, epoch, ticket, news.machine, news.zone, news.cost, news.victims)
+            self.offer_job[part, ticket] = js.id
+            self.hot.add(js.id)
+
+    def _drop_offer(self, key: tuple[int, int]) -> None:
+        jid = self.offer_job.pop(key, None)
+        if jid is not None and (js := self.jobs.get(jid)) is not None:
+            js.offers.pop(key, None)
+
+    def _drop_offers(self, js: JobState) -> None:
+        for key in list(js.offers):
+            self._drop_offer(key)
+
+    def _status(self, js: JobState, e: Entry, news: StartNews, now: float) -> None:
+        state, why = news.state, news.why
+        if e.over or (state == e.state and why == e.why and news.notice == e.notice):
             return
         self.note("task", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, state=state, why=why or "-")
-        e.state, e.why, e.saved, e.notice = state, why, saved, notice
-        self.changed.add(js.id)
-        if state not in ("exited", "gone"):
-            if notice and js.job is not None:
-                self._leave(js, e, notice)
+        js.running -= e.running
+        e.state, e.why, e.saved, e.notice = state, why, bool(news.saved), news.notice
+        e.over = state in ("exited", "gone")
+        js.running += e.running
+        self.counted.add(js.id)
+        if not e.over:
+            if news.notice and js.job is not None:
+                self._leave(js, e, news.notice)
             return
-        e.over = True
         js.since = now
-        self.dirty_chunks[js.team].add(e.chunk)
+        self.dirty_chunks.setdefault(e.chunk, False)
         if js.job is None:
             return
         if state == "exited" and why == "done" and js.job.kind != "service":
             if js.job.kind == "gang":
-                js.complete = True  # a gang completes together
+                self._complete(js)  # a gang completes together
             else:
                 js.mark(e.task)
-                js.complete = js.done_count == js.n
+                if js.done_count == js.n:
+                    self._complete(js)
             self.reorder.add(js.team)
             return
         if state == "exited" and why in ("error", "unknown", "no_room", "in_use"):
@@ -318,7 +492,12 @@
             # the attempt is broken: the rest leaves, saving where that still helps, and it begins anew
             for other in js.entries.values():
                 if not other.over and other.stop is None:
-                    other.stop = 0.0
+                    self._stop(other, 0.0)
+
+    def _complete(self, js: JobState) -> None:
+        js.complete = True
+        self.ending[js.id] = js
+        self.changed.add(js.id)
 
     def _leave(self, js: JobState, e: Entry, notice: int) -> None:
         """Its machine goes away or its room is needed: save what can be saved, a gang's tasks all together."""
@@ -328,10 +507,9 @@
         if job.kind == "gang":
             for other in js.entries.values():
                 if not other.over and other.stop is None:
-                    other.stop = grace
+                    self._stop(other, grace)
         elif e.stop is None and (notice == 2 or grace > 0 or job.kind == "service"):
-            e.stop = grace
-        self.changed.add(js.id)
+            self._stop(e, grace)
 
     def _failed(self, js: JobState, e: Entry, why: str, now: float) -> None:
         js.failures += 1
@@ -344,6 +522,9 @@
                 js.not_before = now + min(60.0, 2.0 * js.failures)  # it fails everywhere: try it now and then
         else:
             js.not_before = now + (1.0 if why == "unknown" else 0.3)
+        if js.not_before > now:
+            heapq.heappush(self.retries, (js.not_before, js.id))
+        self.changed.add(js.id)
 
     # -- deciding ----------------------------------------------------------------------------
 
@@ -362,13 +543,10 @@
         job = js.job
         if job is None or not (job.spread or job.one_zone or job.zone):
             return None
-        here: dict[str, int] = {}
-        for e in js.entries.values():
-            here[e.zone] = here.get(e.zone, 0) + 1
         out = {}
         for z in self.zones:
-            n = job.zone_cap - here.get(z, 0) if job.spread else job.n
-            if (job.one_zone and here and z not in here) or (job.zone and z != job.zone):
+            n = job.zone_cap - js.zones.get(z, 0) if job.spread else job.n
+            if (job.one_zone and js.zones and z not in js.zones) or (job.zone and z != job.zone):
                 n = 0
             out[z] = max(0, n)
         return out
@@ -378,13 +556,19 @@
         for name in self.reorder:
             team = self.teams[name]
             total = (0.0, 0.0, 0.0)
-            for js in sorted((j for j in self.jobs.values() if j.team == name and j.job), key=lambda j: (j.job.at, j.id)):  # type: ignore[union-attr]
+            now_within: set[str] = set()
+            for _, jid in self.by_age[name] if team.cpus > 0 or team.gpus > 0 else ():
+                js = self.jobs[jid]
+                self.visits += 1
                 total = add(total, js.vec, js.n - js.done_count)
-                within = (team.cpus > 0 or team.gpus > 0) and (team.cpus <= 0 or total[0] <= team.cpus + EPS) and (
-                    team.gpus <= 0 or total[1] <= team.gpus + EPS)
-                if within != js.within:
-                    js.within = within
-                    self.changed.add(js.id)
+                if (team.cpus > 0 and total[0] > team.cpus + EPS) or (team.gpus > 0 and total[1] > team.gpus + EPS):
+                    break  # and so are all later ones
+                now_within.add(jid)
+            for jid in now_within ^ self.within[name]:
+                if (known := self.jobs.get(jid)) is not None:
+                    known.within = jid in now_within
+                    self.changed.add(jid)
+            self.within[name] = now_within
         self.reorder.clear()
 
     def order(self, js: JobState) -> tuple[float, ...]:
@@ -403,62 +587,95 @@
             return 0  # all or nothing, and not while an old attempt's task is somewhere
         return max(0, n)
 
+    def _revisit(self, now: float) -> None:
+        """What time brings: jobs that may be tried again, and teams whose use has moved."""
+        while self.retries and self.retries[0][0] <= now:
+            _, jid = heapq.heappop(self.retries)
+            self.changed.add(jid)
+            self.hot.add(jid)
+        if self.moved and now >= self.next_team:
+            self.next_team = now + TEAM_EVERY_S
+            for team in self.moved:
+                self.changed.update(self.waits[team])
+                self.hot.update(jid for jid, js in self.waits[team].items() if js.offers)
+            self.moved.clear()
+        if now >= self.next_revisit:
+            self.next_revisit = now + REVISIT_S
+            self.hot.update(self.offer_job.values())
+
     def decide(self, now: float) -> None:
         """Permit ready candidates, in memory; they go out when the write has landed."""
-        self._order()
+        self._revisit(now)
+        if self.reorder:
+            self._order()
         self.impatient = False
-        ready = [js for js in self.jobs.values() if js.offers and js.job is not None]
+        if not self.hot:
+            return
+        hot, self.hot = self.hot, set()
+        ready = [js for jid in hot if (js := self.jobs.get(jid)) is not None and js.offers and js.job is not None]
         for js in sorted(ready, key=self.order):
-            n = self.wanted(js, now)
-            if n <= 0:
-                continue
-            zones = self.zone_room(js)
-            taken = {(e.part, e.ticket, e.epoch) for e in js.entries.values()}
-            offers = sorted(
-                (o for o in js.offers.values() if (o.part, o.ticket, o.epoch) not in taken and o.machine not in js.failed_on),
-                key=lambda o: (o.victims, o.cost, o.ticket),
-            )
-            if now - js.since < PATIENCE_S:
-                # room by preemption, or without the image, is a worse answer: let the other owners speak first,
-                # or the owner next door wins every race (the paper's optional scoring, cut to a blink)
-                waited = [o for o in offers if not o.victims and o.cost <= 1.0]
-                self.impatient = self.impatient or len(waited) < len(offers)
-                offers = waited
-            chosen = self._gang(js, offers) if js.job.kind == "gang" else offers  # type: ignore[union-attr]
-            attempt = self._attempt()
-            new: list[Entry] = []
-            for o in chosen:
-                if n <= 0:
-                    break
-                if zones is not None:
-                    if zones.get(o.zone, 0) <= 0:
-                        continue
-                    zones[o.zone] -= 1
-                    if js.job.one_zone:  # type: ignore[union-attr]
-                        zones = {z: (v if z == o.zone else 0) for z, v in zones.items()}
-                task = js.take()
-                if task is None:
-                    break
-                chunk = self._room_chunk(js.team)
-                e = Entry(js.id, task, attempt, o.machine, o.part, o.zone, o.epoch, o.ticket, chunk, since=now)
-                self._insert(js, e)
-                new.append(e)
-                self.dirty_chunks[js.team].add(chunk)
-                self.changed.add(js.id)
-                n -= 1
-            if js.job.kind == "gang" and len(new) < js.n:  # type: ignore[union-attr]
-                for e in new:  # never a part of a gang
-                    self._remove(js, e)
-                    js.put_back(e.task)
+            self._decide(js, now)
+
+    def _decide(self, js: JobState, now: float) -> None:
+        job = js.job
+        assert job is not None
+        self.visits += 1
+        n = self.wanted(js, now)
+        if n <= 0:
+            return
+        zones = self.zone_room(js)
+        offers = sorted((o for o in js.offers.values() if o.machine not in js.failed_on), key=lambda o: (o.victims, o.cost, o.ticket))
+        if now - js.since < PATIENCE_S:
+            # room by preemption, or without the image, is a worse answer: let the other owners speak first,
+            # or the owner next door wins every race (the paper's optional scoring, cut to a blink)
+            waited = [o for o in offers if not o.victims and o.cost <= 1.0]
+            if len(waited) < len(offers):
+                self.impatient = True
+                self.hot.add(js.id)
+            offers = waited
+        if job.kind == "gang":
+            offers = self._gang(job, [o for o in offers if zones is None or zones.get(o.zone, 0) > 0])
+        chosen: list[Offer] = []
+        for o in offers:
+            if len(chosen) >= n:
+                break
+            if zones is not None:
+                if zones.get(o.zone, 0) <= 0:
+                    continue
+                zones[o.zone] -= 1
+                if job.one_zone:
+                    zones = {z: (v if z == o.zone else 0) for z, v in zones.items()}
+            chosen.append(o)
+        if not chosen or (job.kind == "gang" and len(chosen) < js.n):
+            return  # never a part of a gang
+        self._permit(js, chosen)
+
+    def _permit(self, js: JobState, chosen: list[Offer]) -> None:
+        attempt = self._attempt()
+        new: list[Entry] = []
+        nowhere = Chunk(js.team, -1)
+        for o in chosen:
+            task = js.take()
+            if task is None:
+                break
+            new.append(Entry(js.id, task, attempt, o.machine, o.part, o.zone, o.epoch, o.ticket, nowhere))
+            self._drop_offer((o.part, o.ticket))
+        sizes = [entry_bytes(e) for e in new]
+        header = header_bytes(js.id, js.vec)
+        total = header + sum(sizes)
+        # a gang's permits stand in one chunk where one can hold them, so that they land together
+        whole = self._chunk_for(js.team, total) if js.job is not None and js.job.kind == "gang" and total + 2 <= self.chunk_bytes else None
+        for e, size in zip(new, sizes, strict=True):
+            e.chunk = whole or self._chunk_for(js.team, header + size)
+            self._insert(js, e)
+            self.dirty_chunks[e.chunk] = True
 
     def _attempt(self) -> int:
         self.attempts += 1
         return (self.epoch << ATTEMPT_BITS) + self.attempts
 
-    def _gang(self, js: JobState, offers: list[Offer]) -> list[Offer]:
+    def _gang(self, job: Job, offers: list[Offer]) -> list[Offer]:
         """A whole gang or nothing: from one part if one has it all, else from pieces of several."""
-        job = js.job
-        assert job is not None
         best: list[Offer] = []
         groups: dict[Any, list[Offer]] = {}
         for o in offers:
@@ -480,138 +697,121 @@
 
     # -- writing -----------------------------------------------------------------------------
 
-    def cell_key(self, team: str, chunk: int) -> str:
-        """Where one chunk of a cell is kept."""
-        return f"{cell_prefix(team)}{chunk}"
-
     def plan(self) -> Txn | None:
-        """The next write: as many dirty cells, results and ends as the limits allow in one transaction."""
+        """The next write: permits first, then ends, then exits; as many as one transaction takes."""
         txn = Txn({f"{SHARD}{self.shard}": self.epoch}, {}, [])
-        ops, size = 0, 400
-        max_guards = 4 * self.txn_ops - 1
-        for js in self.jobs.values():
-            if not (js.complete and js.job is not None and not js.blocked):
+        for chunk in [c for c, permits in self.dirty_chunks.items() if permits]:
+            if not self._plan_chunk(txn, chunk):
+                break
+        for js in self.ending.values():
+            if js.blocked or js.job is None or JOB + js.id in txn.guards:
                 continue
-            if ops + 2 > self.txn_ops - 2 or len(txn.guards) + 4 > max_guards:
+            if txn.ops + 2 > self.txn_ops or len(txn.guards) + 1 > self._max_guards or txn.size > TXN_BYTES:
                 break
             txn.guards[JOB + js.id] = js.version
             txn.deletes.append(JOB + js.id)
             txn.puts[END + js.id] = {"s": "done", "n": js.n}
             txn.ends.append(js)
-            ops += 2
-            size += 300
-        for team, dirty in self.dirty_chunks.items():
-            for chunk in sorted(dirty):
-                if ops + 1 > self.txn_ops or len(txn.guards) + 2 > max_guards or size > 40_000:
-                    return txn if ops else None
-                got = self._plan_chunk(txn, team, chunk, self.txn_ops - ops - 1, max_guards - len(txn.guards) - 1)
-                ops += got[0]
-                size += got[1]
-        return txn if ops else None
-
-    def _plan_chunk(self, txn: Txn, team: str, chunk: int, spare_ops: int, spare_guards: int) -> tuple[int, int]:
+            txn.size += 300
+        for chunk in [c for c, permits in self.dirty_chunks.items() if not permits]:
+            if not self._plan_chunk(txn, chunk):
+                break
+        while self.garbage and txn.ops < self.txn_ops and txn.ops > 0 and txn.size < TXN_BYTES:
+            key = self.garbage.pop()
+            if key not in txn.puts:
+                txn.deletes.append(key)  # of no use to anybody: if this write fails, the next source finds it
+                txn.size += len(key) + 40
+        return txn if txn.ops else None
+
+    @property
+    def _max_guards(self) -> int:
+        return 4 * self.txn_ops
+
+    def _plan_chunk(self, txn: Txn, chunk: Chunk) -> bool:
+        """Add one chunk's value to a write, with what it depends on; False when there was no room for it."""
+        if txn.ops + 1 > self.txn_ops or len(txn.guards) + 2 > self._max_guards or txn.size + chunk.size + 300 > TXN_BYTES:
+            return False
         value: dict[str, Any] = {}
-        ops, left = 1, False
-        adds: list[Entry] = []
-        removes: list[Entry] = []
-        for jid, task in sorted(self.chunk_entries[team].get(chunk, ())):
+        write = ChunkWrite(chunk)
+        spare = self.txn_ops - txn.ops - 1
+        for (jid, task), e in sorted(chunk.entries.items()):
+            self.visits += 1
             js = self.jobs[jid]
-            e = js.entries[task]
             if e.over and e.landed:
                 part = task // PROGRESS_TASKS
                 if js.job is not None and not js.complete and part in js.dirty_progress:
-                    key = f"{progress_prefix(team)}{jid}/{part}"
+                    key = f"{progress_prefix(chunk.team)}{jid}/{part}"
                     if key not in txn.puts:
-                        if spare_ops <= 0:
-                            left = True
-                            self._put(value, js, e)
+                        if spare <= 0 or txn.size + chunk.size > TXN_BYTES:
+                            _put(value, js, e)
                             continue
-                        spare_ops -= 1
-                        ops += 1
+                        spare -= 1
                         lo = part * PROGRESS_TASKS // 8
                         txn.puts[key] = base64.b64encode(bytes(js.done[lo : lo + PROGRESS_TASKS // 8])).decode()
                         txn.progress.append((js, part))
-                removes.append(e)
+                        txn.size += len(txn.puts[key]) + len(key) + 40
+                write.removes.append(e)
                 continue
             if not e.landed:
                 key = JOB + jid
                 if js.job is None or js.blocked or key in txn.deletes:
-                    removes.append(e)  # never written: it just goes
+                    write.removes.append(e)  # never written: it just goes
                     continue
                 if key not in txn.guards:
-                    if spare_guards <= 0:
-                        left = True
+                    if len(txn.guards) + 2 > self._max_guards:
                         continue
-                    spare_guards -= 1
                     txn.guards[key] = js.version
-                adds.append(e)
-            self._put(value, js, e)
-        key = self.cell_key(team, chunk)
-        version = self.chunks[team].get(chunk, 0)
-        txn.guards[key] = version
+                    txn.size += len(key) + 40
+                write.adds.append(e)
+            _put(value, js, e)
+        txn.guards[chunk.key] = chunk.version
         if value:
-            txn.puts[key] = value
-        elif version:
-            txn.deletes.append(key)
-        else:
-            ops -= 1
-        if not left:
-            txn.teams.append(f"{team}\n{chunk}")
-        elif team not in txn.teams:
-            txn.teams.append(f"{team}\n{chunk}\n+")
-        txn.adds += adds
-        txn.removes += removes
-        return ops, len(orjson.dumps(value)) + 200 + 2000 * max(0, ops - 1)
-
-    def _put(self, value: dict[str, Any], js: JobState, e: Entry) -> None:
-        value.setdefault(e.job, [list(js.vec), []])[1].append([e.task, e.attempt, e.machine, e.part, e.zone, e.epoch, e.ticket])
-
-    def _touched(self, txn: Txn) -> list[tuple[str, int, bool]]:
-        out = []
-        for t in txn.teams:
-            parts = t.split("\n")
-            out.append((parts[0], int(parts[1]), len(parts) == 3))
-        return out
+            txn.puts[chunk.key] = value
+        elif chunk.version:
+            txn.deletes.append(chunk.key)
+        txn.chunks.append(write)
+        txn.size += chunk.size + 2 * len(chunk.key) + 100
+        return True
 
     def landed(self, txn: Txn, revision: int, now: float) -> None:
         """The write is in: permits go out, exits may be forgotten by the workers."""
-        for team, chunk, left in self._touched(txn):
-            key = self.cell_key(team, chunk)
-            if key in txn.puts:
-                self.chunks[team][chunk] = revision
-            else:
-                self.chunks[team].pop(chunk, None)
-            if not left:
-                self.dirty_chunks[team].discard(chunk)
         for js, part in txn.progress:
             js.dirty_progress.discard(part)
             js.stored_progress.add(part)
-        for e in txn.adds:
-            js2 = self.jobs.get(e.job)
-            e.landed = True
-            e.since = now
-            if js2 is not None and js2.job is None:
-                e.stop = 0.0  # its job ended while the write was on its way
-            self.changed.add(e.job)
-            self.note("permit", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, part=e.part)
-        for e in txn.removes:
-            js3 = self.jobs.get(e.job)
-            if js3 is not None and js3.entries.get(e.task) is e:
-                self._remove(js3, e)
-                if not js3.is_done(e.task):
-                    js3.put_back(e.task)
+        for write in txn.chunks:
+            chunk = write.chunk
+            if chunk.key in txn.puts:
+                chunk.version = revision
+            else:
+                chunk.version = 0
+            for e in write.adds:
+                known = self.jobs.get(e.job)
+                if known is not None:
+                    self._land(known, e)
+                self.note("permit", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, part=e.part)
+            self._clear(write.removes)
+            self._redo(chunk)
         for js in txn.ends:
             self.note("done", job=js.id)
             self.on_job(None, js.id, 0, now)
-        for team in self.teams:
-            # what became over or was added while the write was on its way still has to be written
-            for cid, members in self.chunk_entries[team].items():
-                for jid, task in members:
-                    e = self.jobs[jid].entries[task]
-                    if e.over or not e.landed:
-                        self.dirty_chunks[team].add(cid)
-                        break
-        self.dirty = True
+
+    def _clear(self, entries: Iterable[Entry]) -> None:
+        for e in entries:
+            js = self.jobs.get(e.job)
+            if js is not None and js.entries.get(e.task) is e:
+                self._remove(js, e)
+                if not js.is_done(e.task):
+                    js.put_back(e.task)
+
+    def _redo(self, chunk: Chunk) -> None:
+        """What became over or was added while the write was on its way still has to be written."""
+        self.dirty_chunks.pop(chunk, None)
+        for e in chunk.entries.values():
+            self.visits += 1
+            if e.over or not e.landed:
+                self.dirty_chunks[chunk] = self.dirty_chunks.get(chunk, False) or not e.landed
+        if not chunk.entries and not chunk.version:
+            self.chunks[chunk.team].pop(chunk.index, None)
 
     def refused(self, txn: Txn, failed: list[str]) -> list[str]:
         """A guard did not hold. Returns the teams whose cells must be read again."""
@@ -628,40 +828,52 @@
 
     def teams_of(self, txn: Txn) -> list[str]:
         """The teams whose cells a write touches."""
-        return sorted({t for t, _, _ in self._touched(txn)})
+        return sorted({w.chunk.team for w in txn.chunks})
 
     # -- what owners and the renter are told ---------------------------------------------------
 
-    def board(self, jid: str, part: int, now: float) -> dict[str, Any] | None:
-        """One job's entry on the board for one part."""
-        js = self.jobs.get(jid)
-        if js is None:
-            return None
-        # a permit that is being written still needs the room that is held for it: wanting less at once
-        # made owners cancel that room, and refuse the permit a moment later (kazi-bodi steady)
-        want = self.wanted(js, now) + sum(1 for e in js.entries.values() if e.part == part and not e.landed)
-        permits = [
-            [e.task, e.attempt, e.machine, e.epoch, e.ticket, e.stop] for e in js.entries.values() if e.part == part and e.landed
-        ]
-        if not want and not permits:
-            return None
-        running = sum(1 for e in js.entries.values() if e.state in ("running", "saving") and not e.over)
-        out: dict[str, Any] = {"v": list(js.vec), "w": want, "p": permits, "c": [js.done_count, running]}
-        if js.job is not None:
-            out["j"] = js.job.record()
-            out["o"] = list(self.order(js))
-            if (zones := self.zone_room(js)) is not None:
-                out["z"] = zones
-            if js.failed_on:
-                out["x"] = sorted(js.failed_on)
+    def take_news(self, parts: int, now: float) -> dict[tuple[int, str], Any]:
+        """What has changed for the owners since the last time: (part, key) -> value."""
+        out: dict[tuple[int, str], Any] = dict(self.permit_news)
+        self.permit_news.clear()
+        for jid in self.changed:
+            self.visits += 1
+            js = self.jobs.get(jid)
+            if js is None:
+                for part in range(parts):
+                    out[part, peers.job_key(jid)] = out[part, peers.candidate_key(jid)] = None
+                for waits in self.waits.values():
+                    waits.pop(jid, None)
+                continue
+            if js.waiting() > 0:
+                self.waits[js.team][jid] = js
+            else:
+                self.waits[js.team].pop(jid, None)
+            news = JobNews(js.job.record() if js.job is not None else None, list(js.vec), int(js.within))
+            n = self.wanted(js, now)
+            zones = self.zone_room(js) if n or js.unlanded else None
+            for part in range(parts):
+                # a permit that is being written still needs the room that is held for it: wanting less at once
+                # made owners cancel that room, and refuse the permit a moment later (kazi-bodi steady)
+                want = n + js.unlanded.get(part, 0)
+                out[part, peers.job_key(jid)] = news
+                out[part, peers.candidate_key(jid)] = (
+                    Candidate(want, list(self.order(js)), zones, sorted(js.failed_on)) if want and js.job is not None else None
+                )
+        self.changed.clear()
         return out
 
-    def demand(self, now: float) -> dict[str, Any]:
+    def take_counts(self) -> dict[str, list[int] | None]:
+        """What users are shown of jobs, as far as it has changed."""
+        counted, self.counted = self.counted, set()
+        return {jid: [js.done_count, js.running] if (js := self.jobs.get(jid)) is not None and js.job else None for jid in counted}
+
+    def demand(self, now: float) -> dict[str, DemandNews]:
         """Waiting tasks, each once, for the renter."""
-        out: dict[str, Any] = {}
+        out: dict[str, DemandNews] = {}
         left = {t: (team.cpus_max - self.used[t][0] if team.cpus_max > 0 else 1e18,
                     team.gpus_max - self.used[t][1] if team.gpus_max > 0 else 1e18) for t, team in self.teams.items()}  # fmt: skip
-        for js in sorted((j for j in self.jobs.values() if j.job is not None), key=self.order):
+        for js in sorted((j for w in self.waits.values() for j in w.values() if j.job is not None), key=self.order):
             n = 0 if js.not_before > now + 5 else js.waiting()
             cpus, gpus = left[js.team]
             if js.vec[0] > 0:
@@ -670,14 +882,16 @@
                 n = min(n, int(max(0.0, gpus) / js.vec[1] + EPS))
             if js.job is not None and js.job.kind == "gang" and n < js.n:
                 n = 0
-            if n > 0:
+            if n > 0 and js.job is not None:
                 left[js.team] = (cpus - n * js.vec[0], gpus - n * js.vec[1])
-                out[js.id] = [js.job.record() if js.job else None, n, self.zone_room(js), list(self.order(js))]
+                out[js.id] = DemandNews(js.job.record(), n, self.zone_room(js), list(self.order(js)))
         return out
 
     def progress(self, jid: str) -> tuple[int, int]:
         """(done, running) for display."""
         js = self.jobs.get(jid)
-        if js is None:
-            return 0, 0
-        return js.done_count, sum(1 for e in js.entries.values() if e.state in ("running", "saving") and not e.over)
+        return (js.done_count, js.running) if js is not None else (0, 0)
+
+
+def _put(value: dict[str, Any], js: JobState, e: Entry) -> None:
+    value.setdefault(e.job, [list(js.vec), []])[1].append(e.record())
--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -27,7 +27,8 @@
 )  # fmt: skip
 from ploverhall.coordination import boards
 from ploverhall.coordination.boards import Inbox, Message, Outbox
-from ploverhall.coordination.owner import TOKEN_BITS, Machine, Owner, fits
+from ploverhall.coordination.fleet import Machine, fits
+from ploverhall.coordination.owner import TOKEN_BITS, Owner
 from ploverhall.coordination.renter import Rent, Renter
 from ploverhall.coordination.shards import Layout
 from ploverhall.coordination.source import Source, Txn
@@ -40,6 +41,9 @@
 from ploverhall.transport.http import Client, Reply, Request, Server, Unreachable
 from ploverhall.transport.peer import Link, Listener
 
+ENGINE_EVERY_S = 0.01
+VIEWS_EVERY_S = 0.5
+
 
 @dataclass
 class Held:
@@ -223,7 +227,7 @@
         s, now = self.settings, time.monotonic()
         owner = Owner(shard, epoch, len(self.layout.nodes), s.lease_s, s.report_s, s.options.hold_s, s.options.sample, self.rng, now)
         owner.types = self.types or {}
-        owner.job_vec = self.job_vec
+        owner.fleet.job_vec = self.job_vec
         owner.job_over = self.replica.ended.__contains__
         held = Held(shard, epoch, owner)
         self.held[shard] = held
@@ -240,7 +244,7 @@
         if held is not None:
             held.lost = True
             held.scope.cancel()
-            self.outbox.drop(("s", "o", "d", "m"), shard)
+            self.outbox.drop(("s", "o", "d", "m", "c"), shard)
             log.info("shard lost", shard=shard, epoch=held.epoch, why=why)
 
     def job_vec(self, jid: str) -> tuple[float, float, float] | None:
@@ -269,17 +273,21 @@
             for t in teams:
                 source.install_cell(t.name, cells[t.name], now)
                 source.install_progress(t.name, progress[t.name])
-                for js in source.jobs.values():
-                    if js.job is not None and js.job.kind == "array" and js.done_count == js.n:
-                        js.complete = True
             held.source = source
-            for (kind, src, dst), (e, state) in self.inbox.boards.items():
-                if dst == held.shard and kind == "o":
-                    self.dispatch([kind, src, e, dst, True, dict(state)])
+            for part in range(len(self.layout.nodes)):
+                # a board that is empty still has to be sent once, so that the owner knows this source is heard
+                self.outbox.board("s", held.shard, part, held.epoch)
+            self._owners_again(held)
             log.info("source ready", shard=held.shard, epoch=held.epoch, jobs=len(source.jobs))
             self.poke()
             await self._writer(held, source)
 
+    def _owners_again(self, held: Held) -> None:
+        """Hand the source all that owners have said: it may not have known the starts that it was about."""
+        for (kind, src, dst), (e, state) in list(self.inbox.boards.items()):
+            if dst == held.shard and kind == "o":
+                self.dispatch([kind, src, e, dst, True, dict(state)])
+
     async def _read(self, prefix: str) -> dict[str, tuple[Any, int]]:
         while True:
             try:
@@ -300,7 +308,6 @@
                 revision, failed = await self.store.txn(txn.guards, txn.puts, txn.deletes)
             except Refused:
                 await anyio.sleep(0.15 + 0.15 * self.rng.random())
-                await self._reread(held, source, txn, source.teams_of(txn), certain=True)
                 continue
             except Unknown:
                 await self._reread(held, source, txn, source.teams_of(txn))
@@ -323,13 +330,12 @@
             self.poke()
             await anyio.sleep(self.settings.options.write_every_s)
 
-    async def _reread(self, held: Held, source: Source, txn: Txn, teams: list[str], certain: bool = False) -> None:
+    async def _reread(self, held: Held, source: Source, txn: Txn, teams: list[str]) -> None:
         """After a write of unknown outcome: what the cells hold is what counts; a late one fails its guards."""
-        if certain:
-            return
         for team in teams:
             found = await self._read(cell_prefix(team))
             source.install_cell(team, found, time.monotonic())
+        self._owners_again(held)
         if txn.ends:
             await self.current()
         self.replica_news()
@@ -476,11 +482,10 @@
             return  # from a holder that has been deposed
         if dst == boards.RENTER:
             if self.renter is not None:
-                state = self.inbox.boards[kind, src, dst][1]
                 if kind == "d":
-                    self.renter.on_source(src, state)
+                    self.renter.on_source(src, full, changes)
                 else:
-                    self.renter.on_owner(src, state, now)
+                    self.renter.on_owner(src, full, changes, now)
             return
         held = self.held.get(dst)
         if held is None:
@@ -503,6 +508,10 @@
             with anyio.move_on_after(0.05 if any(h.source is not None and h.source.impatient for h in self.held.values()) else 0.1):
                 await self.wake.wait()
             self.wake = anyio.Event()
+            now = time.monotonic()
+            if now - self.views_at > VIEWS_EVERY_S:
+                self.views_at = now
+                self._views(now)
             for _ in range(4):  # what roles here tell one another is answered in the same breath
                 now = time.monotonic()
                 for held in list(self.held.values()):
@@ -515,59 +524,42 @@
                     break
             for link in self.links:
                 link.poke()
-            await anyio.sleep(0.01)
+            await anyio.sleep(ENGINE_EVERY_S)
 
     def _step(self, held: Held, now: float) -> None:
         owner, source = held.owner, held.source
         owner.tick(now)
-        if owner.dirty or owner.wants:
-            owner.dirty = False
-            owner.place(now)
-            for p in owner.permits.values():
-                if not p.gone:
-                    owner._check_gone(p, owner.machines.get(p.machine))
+        owner.dirty = False
+        owner.place(now)
         if self.settings.options.direct:
             for m, body in owner.direct_work(now):
                 self.tasks.start_soon(self._direct, owner, m, body)
-        shards = range(len(self.layout.nodes))
-        if owner.dirty_jobs:
-            jobs_, owner.dirty_jobs = owner.dirty_jobs, set()
-            for jid in jobs_:
-                srcs, view = owner.view(jid)
-                for s in shards:
-                    b = self.outbox.board("o", held.shard, s, held.epoch)
-                    b.put(jid, view if s in srcs else None)
+        for (src, key), value in owner.take_news().items():
+            self.outbox.board("o", held.shard, src, held.epoch).put(key, value)
         if source is not None:
-            if source.dirty or source.impatient:
-                source.dirty = False
-                source.decide(now)
+            source.decide(now)
+            if source.dirty_chunks or source.ending:
                 held.wake.set()
-                source.changed.update(j.id for j in source.jobs.values() if j.job is not None and j.waiting() > 0)
-            retry = [j.id for j in source.jobs.values() if 0 < j.not_before <= now]
-            for jid in retry:
-                source.jobs[jid].not_before = 0.0
-            source.changed.update(retry)
-            changed, source.changed = source.changed, set()
-            for jid in changed:
-                for part in shards:
-                    self.outbox.board("s", held.shard, part, held.epoch).put(jid, source.board(jid, part, now))
-        # a board that is empty still has to be sent once, so that the owner knows this source is heard
-        for part in shards:
-            self.outbox.board("s", held.shard, part, held.epoch) if source is not None else None
-        if now - self.views_at > 0.4:
-            for h in self.held.values():
-                views = h.owner.machine_views(now)
-                if suspects := h.owner.suspects(now):
-                    views["?"] = suspects
-                self.outbox.board("m", h.shard, boards.RENTER, h.epoch).replace(views)
-                if h.source is not None:
-                    self.outbox.board("d", h.shard, boards.RENTER, h.epoch).replace(h.source.demand(now))
-            if self.renter is not None:
+            for (part, key), value in source.take_news(len(self.layout.nodes), now).items():
+                self.outbox.board("s", held.shard, part, held.epoch).put(key, value)
+
+    def _views(self, now: float) -> None:
+        """What is told at a slower pace: machines and demand to the renter, numbers for display, what the renter wants."""
+        shards = range(len(self.layout.nodes))
+        for h in self.held.values():
+            to_renter = self.outbox.board("m", h.shard, boards.RENTER, h.epoch)
+            to_renter.update(h.owner.take_machine_news(now))
+            to_renter.put("?", h.owner.suspects(now) or None)
+            if h.source is not None:
+                self.outbox.board("d", h.shard, boards.RENTER, h.epoch).replace(h.source.demand(now))
+                counts = h.source.take_counts()
                 for part in shards:
-                    b = self.outbox.board("r", boards.RENTER, part, self.renter.epoch)
-                    b.put("drain", self.renter.drains(part))
-                    b.put("gone", sorted(self.renter.gone)[-300:])
-            self.views_at = now
+                    self.outbox.board("c", h.shard, part, h.epoch).update(counts)
+        if self.renter is not None:
+            for part in shards:
+                b = self.outbox.board("r", boards.RENTER, part, self.renter.epoch)
+                b.put("drain", self.renter.drains(part))
+                b.put("gone", sorted(self.renter.gone)[-300:])
 
     async def _direct(self, owner: Owner, m: Machine, body: dict[str, Any]) -> None:
         client = self.direct_clients.get(m.addr)
@@ -783,7 +775,7 @@
         def sent() -> None:
             m.last_answer = time.monotonic()
 
-        if held.owner.dirty or held.owner.dirty_jobs:
+        if held.owner.dirty or held.owner.changed:
             self.poke()
         return Reply(200, workers.answer(m.token, calls), sent=sent)
 
@@ -801,8 +793,8 @@
             done, running = held.source.progress(jid)
         else:
             for (kind, src, _), (_, state) in self.inbox.boards.items():
-                if kind == "s" and src == shard and jid in state:
-                    done, running = state[jid]["c"]
+                if kind == "c" and src == shard and jid in state:
+                    done, running = state[jid]
                     break
         return jobs.view(jid, jobs.RUNNING if running else jobs.QUEUED, done, running)
 
--- /dev/null
+++ b/ploverhall/protocol/peers.py
@@ -0,0 +1,114 @@
+"""What controllers tell one another: typed values on keyed boards (see coordination.boards).
+
+Every value is a NamedTuple: on the wire an array, here a name for every place. What arrives is read
+with `Type(*value)`, so a value that never left the process reads the same. One key stands for one
+job, candidate, permit, offer or start: a change sends what changed, not all that a job has.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from ploverhall.protocol.workers import Key
+
+JOB, CANDIDATE, PERMIT, OFFER, START = "j", "w", "p", "o", "t"
+
+
+class JobNews(NamedTuple):
+    """Source to owner: what a job is. Without a record it is over, and only its tasks remain."""
+
+    record: list[Any] | None
+    vec: list[float]
+    within: int  # of its team's guarantee
+
+
+class Candidate(NamedTuple):
+    """Source to owner: how many of a job's tasks wait, identical ones as one entry."""
+
+    n: int
+    order: list[float]  # place in every queue
+    zones: dict[str, int] | None  # how many more each zone may take
+    avoid: list[str]  # machines it failed on
+
+
+class PermitNews(NamedTuple):
+    """Source to owner: a start that has been written, and how it should stop (None: it should run)."""
+
+    machine: str
+    epoch: int  # of the owner that offered the room
+    ticket: int
+    stop: float | None
+
+
+class OfferNews(NamedTuple):
+    """Owner to source: room is held for a candidate."""
+
+    job: str
+    machine: str
+    zone: str
+    cost: float
+    victims: int
+
+
+class StartNews(NamedTuple):
+    """Owner to source: what became of a permit."""
+
+    state: str
+    why: str
+    saved: int
+    notice: int  # 1: its machine goes, 2: its room is needed
+
+
+class MachineNews(NamedTuple):
+    """Owner to renter: one machine."""
+
+    type: str
+    zone: str
+    spot: int
+    room: list[float]
+    empty: int
+    draining: int
+    notice: int
+    faulty: int
+    firm: int  # runs work that can't be on a cheap machine
+    firm_room: list[float]  # what services could have: the room of work that may be stopped counts as free
+
+
+class DemandNews(NamedTuple):
+    """Source to renter: a job's waiting tasks, each once."""
+
+    record: list[Any]
+    n: int
+    zones: dict[str, int] | None
+    order: list[float]
+
+
+def job_key(job: str) -> str:
+    """Key of a JobNews."""
+    return JOB + job
+
+
+def candidate_key(job: str) -> str:
+    """Key of a Candidate."""
+    return CANDIDATE + job
+
+
+def permit_key(key: Key) -> str:
+    """Key of a PermitNews."""
+    return f"{PERMIT}{key[0]}/{key[1]}/{key[2]}"
+
+
+def start_key(key: Key) -> str:
+    """Key of a StartNews."""
+    return f"{START}{key[0]}/{key[1]}/{key[2]}"
+
+
+def offer_key(ticket: int) -> str:
+    """Key of an OfferNews."""
+    return f"{OFFER}{ticket}"
+
+
+def split_key(key: str) -> Key:
+    """The start that a permit's or start's key names."""
+    job, task, attempt = key[1:].rsplit("/", 2)
+    return job, int(task), int(attempt)
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -34,7 +34,7 @@
                 "name": m.name, "type": m.type, "zone": m.zone, "spot": m.spot, "tasks": len(m.tasks),
                 "state": "silent" if m.expired else "leaving" if m.notice_s is not None else "not trusted" if m.faulty_until > now
                 else "draining" if m.draining else "up",
-                "free": [round(x, 2) for x in h.owner.room(m)],
+                "free": [round(x, 2) for x in h.owner.fleet.room(m)],
             })  # fmt: skip
     return out
 
