--- a/ploverhall/coordination/stranded.py
+++ b/ploverhall/coordination/stranded.py
@@ -2,7 +2,9 @@
 
 A controller may lose its workers, or everything but the state service: its lease stays alive, nobody
 takes its shard over, and its workers' leases run out while they are sent back to it (seen on kazi-bodi,
-hunt-13e3-7). Whoever they come to instead may take the shard: the write is guarded, the epoch fences.
+hunt-13e3-7). Or a survivor beyond a cut takes a crashed controller's shard in the moment before that one is
+back, and can't reach a single worker of it (kazi-bodi-grown rough, 204 s: 179 tasks killed by their lease).
+Whoever the workers come to instead may take the shard: the write is guarded, the epoch fences.
 """
 
 from __future__ import annotations
@@ -11,28 +13,32 @@
 
 RECENT_S = 4.0  # a worker's own timeout
 BACK_S = 2.0  # sent to the holder, and here again after at least this
-FORGET_S = 9.0
+FORGET_S = 12.0  # a worker that tries two silent controllers in between is back after 10 s
 
 
 @dataclass(slots=True)
 class Stranded:
     """Which machines of other controllers' parts came here, and since when they keep coming."""
 
-    seen: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)
+    seen: dict[int, dict[str, tuple[float, float, bool]]] = field(default_factory=dict)
 
-    def note(self, part: int, machine: str, now: float) -> None:
-        """A machine that the holder has served reports here instead."""
+    def note(self, part: int, machine: str, served: bool, now: float) -> None:
+        """A machine reports here instead; `served`: the holder has answered it before."""
         at = self.seen.setdefault(part, {})
-        first, last = at.get(machine, (now, now))
-        at[machine] = (first if now - last < FORGET_S else now, now)
+        first, last, _ = at.get(machine, (now, now, served))
+        at[machine] = (first if now - last < FORGET_S else now, now, served)
 
-    def should_take(self, part: int, holder_heard: bool, now: float) -> bool:
-        """Two machines, so that one odd worker moves nothing; longer proof while the holder can be heard."""
+    def should_take(self, part: int, holder_heard: bool, now: float, home: bool = False) -> bool:
+        """Two machines, so that one odd worker moves nothing; longer proof while the holder can be heard.
+
+        Machines that the holder has never served may just be on their way to it, as after every takeover:
+        these count only once they are back from it, except at the part's own home, which would get it back anyway.
+        """
         at = self.seen.get(part)
         if not at:
             return False
-        recent = [first for first, last in at.values() if now - last < RECENT_S]
-        if not recent and all(now - last > FORGET_S for _, last in at.values()):
+        recent = [(first, served) for first, last, served in at.values() if now - last < RECENT_S]
+        if not recent and all(now - last > FORGET_S for _, last, _ in at.values()):
             del self.seen[part]
-        back = [first for first in recent if now - first >= BACK_S]
-        return len(back) >= 2 or (not holder_heard and len(recent) >= 2)
+        back = sum(1 for first, _ in recent if now - first >= BACK_S)
+        return back >= 2 or (not holder_heard and sum(1 for _, served in recent if served or home) >= 2)
--- a/ploverhall/node.py
+++ b/ploverhall/node.py
@@ -757,8 +757,8 @@
         if held is None:
             node = self.holder(part)
             holder, epoch = self.replica.holder(part)
-            if holder is not None and holder != self.settings.name and r.token >> TOKEN_BITS == epoch:
-                self.stranded.note(part, r.machine, time.monotonic())
+            if holder is not None and holder != self.settings.name and r.token >> TOKEN_BITS <= epoch:
+                self.stranded.note(part, r.machine, r.token >> TOKEN_BITS == epoch, time.monotonic())
                 self.shard_wake.set()
             return Reply(421, workers.homing(node if node != self.settings.name else None))
         now = time.monotonic()
