--- /dev/null
+++ b/ploverhall/bookkeeping/images.py
@@ -0,0 +1,56 @@
+"""Which machine holds which images, kept in the state service: workers do not report it.
+
+An owner learns it from what it starts, and a new owner would begin with nothing: after a crash of all
+controllers every start fetched what stood next door (the grown ardgael-loans, rough). It is only a
+hint for placing, so it is written seldom, and a lost or late write costs no more than a fetch.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+Images = dict[str, dict[str, float]]  # machine -> image -> GB, least recent first
+
+
+def prefix(part: int) -> str:
+    """Where a part's images are kept, in values that each stand alone."""
+    return f"i/{part}/"
+
+
+def pack(images: Images, limit: int) -> list[Any]:
+    """Values of at most `limit` bytes: names of images once a value, machines by places in that list."""
+    out: list[Any] = []
+    names: dict[str, int] = {}
+    value: list[Any] = [[], {}]
+    size = 8
+    for machine, held in sorted(images.items()):
+        if not held:
+            continue
+        entry = len(orjson.dumps(machine)) + 4 + 4 * len(held)
+        table = sum(len(orjson.dumps([i, gb])) + 1 for i, gb in held.items() if i not in names)
+        if value[1] and size + entry + table > limit:
+            out.append(value)
+            names, value, size = {}, [[], {}], 8
+            table = sum(len(orjson.dumps([i, gb])) + 1 for i, gb in held.items())
+        if size + entry + table > limit:
+            continue
+        for image, gb in held.items():
+            if image not in names:
+                names[image] = len(names)
+                value[0].append([image, gb])
+        value[1][machine] = [names[i] for i in held]
+        size += entry + table
+    if value[1]:
+        out.append(value)
+    return out
+
+
+def unpack(values: list[Any]) -> Images:
+    """The inverse of pack."""
+    out: Images = {}
+    for table, machines in values:
+        for machine, places in machines.items():
+            out[machine] = {table[i][0]: float(table[i][1]) for i in places}
+    return out
--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -156,6 +156,8 @@
         self.warm: dict[tuple[Place, str], dict[str, Machine]] = {}  # machines in the index that hold an image and have a unit free
         self.touched: dict[str, Machine] = {}
         self.gained: dict[str, Machine] = {}  # machines with more room than at the last look
+        self.remembered: dict[str, dict[str, float]] = {}  # images that an earlier owner knew of, on machines not yet seen
+        self.images_changed = False
         self.looks = 0  # machines looked at: what the tests of growth count
 
     # -- room --------------------------------------------------------------------------------
@@ -262,6 +264,7 @@
     def has_image(self, m: Machine, image: str, gb: float) -> None:
         """A machine was seen with an image: the most recent one it holds."""
         new = image not in m.images
+        self.images_changed = self.images_changed or new
         m.images.pop(image, None)
         m.images[image] = gb
         kind = self.types.get(m.type)
@@ -272,6 +275,17 @@
             del m.images[old]
             self._cool(m, old)
 
+    def remember(self, images: dict[str, dict[str, float]]) -> None:
+        """What an earlier owner knew: older than what has been seen since."""
+        for name, held in images.items():
+            m = self.machines.get(name)
+            if m is None:
+                self.remembered[name] = held
+            else:
+                self._unindex(m)
+                m.images = {**{i: gb for i, gb in held.items() if i not in m.images}, **m.images}
+                self.touch(m)
+
     # -- finding room ------------------------------------------------------------------------
 
     def places(self, job: Job) -> list[Place]:
--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -21,6 +21,7 @@
 PREEMPT_EVERY_S = 0.25  # how often a waiting candidate is matched anew against work that may be stopped
 PREEMPT_AT_ONCE = 24  # candidates matched in one go
 LEAST_RANK = max(RANKS.values())
+APART_S = 3.0  # seconds of fetching that keeping a replica apart from its like is worth: at 30, replicas fetched beside idle copies
 REVISIT_S = 2.0  # how often every waiting candidate is looked at anew, whatever has been seen to change
 Failed = list[tuple[Vec, tuple[str, ...] | None, str | None, bool]]
 
@@ -161,7 +162,8 @@
             self.next_preempt = now + PREEMPT_EVERY_S
         if now >= self.next_revisit:
             self.next_revisit = now + REVISIT_S
-            self.new.update(jid for _, jid in self.waiting)
+            for jid in self.wants:
+                self._queue(jid)
         gained, fleet.gained = fleet.gained, {}
         failed: Failed = []
         tries = PREEMPT_AT_ONCE
@@ -172,7 +174,9 @@
                 still += self.waiting[i:]
                 partial_seen = True  # not all were seen: whoever holds pieces may still be among the rest
                 break
-            w = self.wants[jid]
+            w = self.wants.get(jid)
+            if w is None:
+                continue
             new = jid in self.new
             missing = w.n - len(self.tickets.get(jid, ()))
             if missing > 0 and w.job.kind == "gang":
@@ -249,9 +253,13 @@
         """
         fleet = self.fleet
         if first and self.partial != jid:
-            if self.partial is not None and self.partial in self.wants:
-                for t in list(self.tickets.get(self.partial, {}).values()):
-                    self.free(t)
+            pieces = self.tickets.get(self.partial or "", {})
+            last = self.wants.get(self.partial or "")
+            if last is not None and len(pieces) < last.n:
+                # else they are being permitted together with another part's, and nobody else's to take
+                # (they were given away, the permits refused, and the queue changed under the walk: KeyError)
+                for t in list(pieces.values()):
+                    self.free(t, again=False)  # it waits already
             self.partial = jid
         places = fleet.places(w.job)
         zones = self._by_zone(jid, w)
@@ -289,9 +297,15 @@
         kind = self.fleet.types[m.type]
         fetch = 0.0
         if job.image not in m.images:
-            coming = any(p.image == job.image and not p.gone for p in m.permits.values())
-            held = any(t.image == job.image for t in m.tickets.values())
-            fetch = job.image_gb / max(kind.fetch_gb_s, 0.01) * (0.5 if coming else 0.8 if held else 1.0)
+            coming = {p.image for p in m.permits.values() if not p.gone and p.image not in m.images}
+            held = {t.image for t in m.tickets.values() if t.image not in m.images}
+            fetch = job.image_gb / max(kind.fetch_gb_s, 0.01)
+            if job.image in coming:
+                fetch *= 0.5
+            elif job.image in held:
+                fetch *= 0.8
+            else:
+                fetch *= 1 + len(coming | held)  # images fetched at the same time share the machine's rate
         room = m.free
         same = 0
         if job.kind == "service":
@@ -304,7 +318,7 @@
         if job.spot and not m.spot:
             fetch += 20.0  # leave ordinary machines to work that needs them
         if job.kind == "service":
-            return fetch + 30.0 * same + 4.0 * share, share
+            return fetch + APART_S * same + 4.0 * share, share
         return fetch, share
 
     # -- preemption --------------------------------------------------------------------------
--- a/ploverhall/coordination/stranded.py
+++ b/ploverhall/coordination/stranded.py
@@ -31,8 +31,9 @@
     def should_take(self, part: int, holder_heard: bool, now: float, home: bool = False) -> bool:
         """Two machines, so that one odd worker moves nothing; longer proof while the holder can be heard.
 
-        Machines that the holder has never served may just be on their way to it, as after every takeover:
-        these count only once they are back from it, except at the part's own home, which would get it back anyway.
+        Machines that the holder has never served may just be on their way to it, as after every takeover and
+        every boot: these count only at the part's own home, and only while the holder is silent. (Counting them
+        once they came a second time made two controllers take one shard from each other fifty times a second.)
         """
         at = self.seen.get(part)
         if not at:
@@ -40,5 +41,5 @@
         recent = [(first, served) for first, last, served in at.values() if now - last < RECENT_S]
         if not recent and all(now - last > FORGET_S for _, last, _ in at.values()):
             del self.seen[part]
-        back = sum(1 for first, _ in recent if now - first >= BACK_S)
+        back = sum(1 for first, served in recent if served and now - first >= BACK_S)
         return back >= 2 or (not holder_heard and sum(1 for _, served in recent if served or home) >= 2)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,94 @@
+"""Candidates that wait for room: what a pass holds, and what it costs."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ploverhall.coordination.fleet import Fleet, Info, Machine
+from ploverhall.coordination.placement import Placement
+from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.peers import Candidate
+
+from .test_source import a_job
+from .world import TYPE
+
+
+def fleet(n: int, now: float = 0.0) -> Placement:
+    f = Fleet(1.0)
+    f.types = {"t": TYPE}
+    for i in range(n):
+        add_machine(f, i, now)
+    return Placement(f, 5.0, 5, Random(1))
+
+
+def add_machine(f: Fleet, i: int, now: float) -> None:
+    m = Machine(f"n-{i}", "x:1", "t", "a", False, 0, took=True, last_report=now)
+    f.machines[m.name] = m
+    f.touch(m)
+
+
+def gang(p: Placement, jid: str, n: int, rank: int, due: float) -> Job:
+    job = a_job(jid, kind="gang", n=n, cpus=14.0, gpus=4.0, one_zone=True, rank=rank)
+    p.fleet.info[jid] = Info(rank, True, "t", "gang", 0.0, 0.0, False)
+    p.want(0, job, Candidate(n, [1.0, 0.0, float(rank), due], {"a": n, "b": n}, []), True)
+    return job
+
+
+def step(p: Placement, now: float) -> None:
+    p.fleet.settle(now)
+    p.place(now)
+
+
+def held(p: Placement) -> dict[str, int]:
+    return {j: len(t) for j, t in p.tickets.items()}
+
+
+def test_gangs_do_not_hold_pieces_of_one_anothers_room() -> None:
+    p = fleet(6)
+    gang(p, "j-000001", 8, 2, 100.0)
+    gang(p, "j-000002", 4, 2, 200.0)
+    step(p, 0.0)
+    assert held(p) == {"j-000001": 6}, "the first keeps what there is, or it would starve"
+    gang(p, "j-000003", 7, 1, 300.0)  # more important: the pieces are its own from now on
+    for k in range(1, 40):
+        for m in p.fleet.machines.values():
+            m.last_report = 0.1 * k
+        p.expire(0.1 * k)
+        step(p, 0.1 * k)
+    assert held(p) == {"j-000003": 6}
+    assert len(p.waiting) == len(set(p.waiting)) == 3, "each waits once: a second entry outlived its job and stopped the engine"
+    for jid in ("j-000003", "j-000001"):
+        p.cancel(jid)
+    step(p, 4.1)
+    assert held(p) == {"j-000002": 4} and p.waiting == [] and p.partial is None
+
+
+def test_pieces_that_are_being_permitted_are_nobody_elses() -> None:
+    p = fleet(6)
+    job = gang(p, "j-000001", 8, 2, 100.0)
+    step(p, 0.0)
+    p.want(0, job, Candidate(6, [1.0, 0.0, 2.0, 100.0], {"a": 8, "b": 8}, []), True)  # six here and two elsewhere are being written
+    gang(p, "j-000002", 8, 1, 50.0)
+    step(p, 0.1)
+    step(p, 0.4)
+    assert held(p) == {"j-000001": 6}
+    assert [j for _, j in p.waiting] == ["j-000002"]
+
+
+def test_a_pass_costs_what_has_changed_whatever_the_fleet_and_the_backlog() -> None:
+    """Counted, not timed: machines looked at when one more candidate comes and one machine falls free."""
+    looks = []
+    for size in (50, 500):
+        p = fleet(size)
+        for i in range(size // 5):
+            gang(p, f"j-{i:06d}", 4, 2, float(i))
+            step(p, 0.0)
+        step(p, 0.0)
+        before = p.fleet.looks
+        gang(p, "j-900000", 1, 2, 1e6)
+        add_machine(p.fleet, size, 0.0)
+        step(p, 0.0)
+        step(p, 0.0)
+        assert held(p)["j-900000"] == 1
+        looks.append(p.fleet.looks - before)
+    assert looks[1] <= 2 * looks[0]
