--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -154,6 +154,7 @@
         self.job_vec: Callable[[str], Vec | None] = lambda jid: None
         self.index: dict[Place, dict[int, list[Machine]]] = {}
         self.warm: dict[tuple[Place, str], dict[str, Machine]] = {}  # machines in the index that hold an image and have a unit free
+        self.holders: dict[str, dict[str, Machine]] = {}  # image -> all machines that hold it
         self.touched: dict[str, Machine] = {}
         self.gained: dict[str, Machine] = {}  # machines with more room than at the last look
         self.remembered: dict[str, dict[str, float]] = {}  # images that an earlier owner knew of, on machines not yet seen
@@ -245,6 +246,12 @@
             if not holders:
                 del self.warm[key]
 
+    def _unhold(self, m: Machine, image: str) -> None:
+        if (holders := self.holders.get(image)) is not None:
+            holders.pop(m.name, None)
+            if not holders:
+                del self.holders[image]
+
     def settle(self, now: float) -> list[Machine]:
         """Look at every machine that something happened to."""
         touched, self.touched = list(self.touched.values()), {}
@@ -255,6 +262,8 @@
     def remove(self, m: Machine) -> None:
         """The machine is not known any more."""
         self._unindex(m)
+        for image in m.images:
+            self._unhold(m, image)
         self.machines.pop(m.name, None)
         self.touched.pop(m.name, None)
         self.gained.pop(m.name, None)
@@ -267,6 +276,7 @@
         self.images_changed = self.images_changed or new
         m.images.pop(image, None)
         m.images[image] = gb
+        self.holders.setdefault(image, {})[m.name] = m
         kind = self.types.get(m.type)
         if new and m.bucket is not None and kind is not None and self.units(m.free, kind) > 0:
             self.warm.setdefault((m.place, image), {})[m.name] = m
@@ -274,6 +284,7 @@
             old = next(iter(m.images))
             del m.images[old]
             self._cool(m, old)
+            self._unhold(m, old)
 
     def remember(self, images: dict[str, dict[str, float]]) -> None:
         """What an earlier owner knew: older than what has been seen since."""
@@ -283,9 +294,15 @@
                 self.remembered[name] = held
             else:
                 self._unindex(m)
-                m.images = {**{i: gb for i, gb in held.items() if i not in m.images}, **m.images}
+                self.stock(m, {**{i: gb for i, gb in held.items() if i not in m.images}, **m.images})
                 self.touch(m)
 
+    def stock(self, m: Machine, images: dict[str, float]) -> None:
+        """These are a machine's images; it is not in the index."""
+        m.images = images
+        for image in images:
+            self.holders.setdefault(image, {})[m.name] = m
+
     # -- finding room ------------------------------------------------------------------------
 
     def places(self, job: Job) -> list[Place]:
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -215,7 +215,7 @@
             m = Machine(r.machine, r.addr, r.type, r.zone, r.spot, self.epoch << TOKEN_BITS, first=now)
             m.draining = r.machine in self.drain
             m.permits = self.fleet.permits.setdefault(r.machine, {})
-            m.images = self.fleet.remembered.pop(r.machine, {})
+            self.fleet.stock(m, self.fleet.remembered.pop(r.machine, {}))
             self.machines[r.machine] = m
             self._act(m)
         m.token = max(m.token, r.token)
--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -22,6 +22,11 @@
 PREEMPT_AT_ONCE = 24  # candidates matched in one go
 LEAST_RANK = max(RANKS.values())
 APART_S = 3.0  # seconds of fetching that keeping a replica apart from its like is worth: at 30, replicas fetched beside idle copies
+CACHE_S = 0.15  # seconds that each image a machine holds is worth to others
+STOP_S = 1.0  # what stopping others takes, until their room is free
+LOSS_WORTH = 0.2  # seconds of waiting that a second of lost work is worth
+WARM_S = 2.0  # a start that is slower than this is worth the question whether a machine that holds the image is better
+WARM_TRIES = 24  # machines asked that question
 REVISIT_S = 2.0  # how often every waiting candidate is looked at anew, whatever has been seen to change
 Failed = list[tuple[Vec, tuple[str, ...] | None, str | None, bool]]
 
@@ -237,7 +242,11 @@
                     failed.append(shape)
                 break
             cost, _, _, m = min((*self.score(job, m), m.name, m) for m in found)
-            self.hold(w, m, cost, now)
+            victims: tuple[Key, ...] = ()
+            if cost > WARM_S and only is None and (job.kind != "gang" or w.n == 1) and (way := self._warm_way(w, places, now)) is not None:
+                if way[0] < cost:
+                    cost, m, victims = way
+            self.hold(w, m, cost, now, victims)
             if only is not None and self.fleet.units(m.free, self.fleet.types[m.type]) == 0:
                 only.pop(m.name, None)
             if zones is not None:
@@ -306,6 +315,7 @@
                 fetch *= 0.8
             else:
                 fetch *= 1 + len(coming | held)  # images fetched at the same time share the machine's rate
+                fetch += CACHE_S * len(m.images)  # what has to be fetched anyway goes where it spoils no well-stocked machine
         room = m.free
         same = 0
         if job.kind == "service":
@@ -349,7 +359,7 @@
         One walk over the machines with such work, however many candidates there are.
         """
         fleet = self.fleet
-        taken: set[Key] = {v for t in self.preempting.values() for v in t.victims} | self.victims
+        taken = self._stopped()
         zones = self._by_zone(jid, w)
         places: set[Place] = set(p for p in fleet.places(w.job) if zone is None or p[1] == zone)
         ways: list[tuple[float, str, Machine, tuple[Key, ...]]] = []
@@ -373,6 +383,33 @@
                 heapq.heappush(ways, (way[0], m.name, m, way[1]))
         return found
 
+    def _stopped(self) -> set[Key]:
+        """What leaves for others already."""
+        return {v for t in self.preempting.values() for v in t.victims} | self.victims
+
+    def _warm_way(self, w: Want, places: list[Place], now: float) -> tuple[float, Machine, tuple[Key, ...]] | None:
+        """Room on a machine that holds the image, by stopping work that has hardly begun.
+
+        Free room is mostly on machines that have just come and hold nothing; where there was room at all, nine of
+        ten starts fetched for longer than their users wait (both grown deployments, steady).
+        """
+        holders = self.fleet.holders.get(w.job.image)
+        if not holders or not self._could_stop(w):
+            return None
+        some = list(holders.values())
+        if len(some) > WARM_TRIES:
+            some = self.rng.sample(some, WARM_TRIES)
+        taken = self._stopped()
+        ways = [
+            (way[0], m.name, m, way[1]) for m in some
+            if m.permits and m.place in places and m.name not in w.avoid and not self.fleet.unusable(m, now)
+            and (way := self._way(m, w, taken, now)) is not None
+        ]  # fmt: skip
+        if not ways:
+            return None
+        cost, _, m, victims = min(ways, key=lambda x: x[:2])
+        return cost, m, victims
+
     def _way(self, m: Machine, w: Want, taken: set[Key], now: float) -> tuple[float, tuple[Key, ...]] | None:
         """The cheapest way to make room on one machine: what it costs, and what it stops."""
         options = []
@@ -397,4 +434,4 @@
             loss += cost
         if not chosen or not fits(w.job.vec, room):
             return None
-        return loss + 0.3 * self.score(w.job, m)[0], tuple(chosen)
+        return STOP_S + LOSS_WORTH * loss + self.score(w.job, m)[0], tuple(chosen)
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -258,7 +258,8 @@
             and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view.firm and not needed))
         ]  # fmt: skip
         ordinary: dict[Kind, list[Rented]] = {}
-        for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), m.since)):
+        for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), -m.since)):
+            # the newest go first: the others have had more time to gather images
             if m.kind[2]:
                 m.drain = True
             else:
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -625,7 +625,11 @@
         if n <= 0:
             return
         zones = self.zone_room(js)
-        offers = sorted((o for o in js.offers.values() if o.machine not in js.failed_on), key=lambda o: (o.victims, o.cost, o.ticket))
+        # an owner's cost counts what is lost by stopping others; work that could be anywhere takes plain room first all the same
+        offers = sorted(
+            (o for o in js.offers.values() if o.machine not in js.failed_on),
+            key=lambda o: (o.victims if job.spot else 0, o.cost, o.victims, o.ticket),
+        )
         if now - js.since < PATIENCE_S:
             # room by preemption, or without the image, is a worse answer: let the other owners speak first,
             # or the owner next door wins every race (the paper's optional scoring, cut to a blink)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,10 +4,11 @@
 
 from random import Random
 
-from ploverhall.coordination.fleet import Fleet, Info, Machine
+from ploverhall.coordination.fleet import Fleet, Info, Machine, Permit
 from ploverhall.coordination.placement import Placement
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peers import Candidate
+from ploverhall.protocol.workers import Task
 
 from .test_source import a_job
 from .world import TYPE
@@ -75,6 +76,25 @@
     assert [j for _, j in p.waiting] == ["j-000002"]
 
 
+def test_a_replica_takes_a_warm_machine_from_work_that_has_hardly_begun() -> None:
+    """Free room is on machines that have just come; the image is where work runs."""
+    for ran, there in ((1.0, "n-0"), (60.0, "n-1")):
+        p = fleet(2)
+        warm = p.fleet.machines["n-0"]
+        p.fleet.has_image(warm, "i", 5.0)
+        p.fleet.info["j-000009"] = Info(2, False, "u", "array", 0.0, 0.0, True)
+        key = ("j-000009", 0, 1)
+        warm.permits[key] = Permit(key, 0, "n-0", 1, 1, (16.0, 4.0, 64.0), "k", 1.0, run_token=1, ran_at=100.0 - ran)
+        warm.tasks[key] = Task("running", "", False)
+        for m in p.fleet.machines.values():
+            m.last_report = 100.0
+        job = a_job("j-000001", kind="service", n=1, rank=0, image_gb=8.0)
+        p.want(0, job, Candidate(1, [0.0], None, []), True)
+        step(p, 100.0)
+        (t,) = p.tickets["j-000001"].values()
+        assert t.machine == there and t.victims == ((key,) if there == "n-0" else ())
+
+
 def test_a_pass_costs_what_has_changed_whatever_the_fleet_and_the_backlog() -> None:
     """Counted, not timed: machines looked at when one more candidate comes and one machine falls free."""
     looks = []
