--- a/ploverhall/cli.py
+++ b/ploverhall/cli.py
@@ -19,13 +19,15 @@
         c.add_argument("--config", required=True, help="the platform's settings (TOML)")
     c = sub.add_parser("status", help="what is queued and why, what died and why, teams, machines")
     c.add_argument("address", help="HOST:PORT of a running controller")
-    c.add_argument("--job", help="only this job")
+    c.add_argument("--job", help="only this job, with its tasks")
+    c.add_argument("--team", help="only this team's jobs")
+    c.add_argument("--machine", help="only this machine, and the jobs with tasks on it")
     c.add_argument("--json", action="store_true", help="as JSON")
     args = p.parse_args(argv)
     if args.command == "status":
         from ploverhall.status import show
 
-        return show(args.address, args.job, args.json)
+        return show(args.address, args.json, args.job, args.team, args.machine)
     try:
         s = settings.load(args.config, args.options)
     except settings.SettingsError as e:
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -37,6 +37,8 @@
 
 ENGINE_EVERY_S = 0.01
 VIEWS_EVERY_S = 0.5
+SHORT_EVERY_S = 10.0
+LAG_S = 0.25  # what is late by less is not worth a word
 
 
 @dataclass
@@ -67,7 +69,6 @@
         self.outbox, self.inbox = Outbox(), Inbox()
         self.links = [Link(s.name, p.name, p.host, p.port, self.collect) for p in s.peers]
         self.held: dict[int, Held] = {}
-        self.lease_at = 0.0
         self.renter: Renter | None = None
         self.types: dict[str, MachineType] | None = None
         self.rng = Random()
@@ -77,7 +78,8 @@
         self.gossip_at: dict[str, float] = {}
         self.views_at = 0.0
         self.tasks: anyio.abc.TaskGroup
-        self.started = time.monotonic()
+        self.lag = 0.0  # longest that a step of the engine has come late, since it was last told
+        self.next_short = 0.0
         self.membership = Membership(self)
         self.following = Following(self)
         self.writing = Writing(self)
@@ -251,6 +253,10 @@
             if now - self.views_at > VIEWS_EVERY_S:
                 self.views_at = now
                 self._views(now)
+            if now > self.next_short:
+                if self.next_short and (short := self.short()):
+                    log.info("short of", **short)
+                self.next_short, self.lag = now + SHORT_EVERY_S, 0.0
             for _ in range(4):  # what roles here tell one another is answered in the same breath
                 now = time.monotonic()
                 for held in list(self.held.values()):
@@ -263,7 +269,9 @@
                     break
             for link in self.links:
                 link.poke()
+            before = time.monotonic()
             await anyio.sleep(ENGINE_EVERY_S)
+            self.lag = max(self.lag, time.monotonic() - before - ENGINE_EVERY_S)
 
     def _step(self, held: Held, now: float) -> None:
         owner, source = held.owner, held.source
@@ -313,6 +321,20 @@
                 b.put("drain", self.renter.drains(part))
                 b.put("gone", sorted(self.renter.gone)[-300:])
 
+    def short(self) -> dict[str, float]:
+        """What this controller is short of, and by how much; what it has enough of is left out."""
+        sources = [h.source for h in self.held.values() if h.source is not None]
+        now = time.monotonic()
+        backlog = sum(len(s.dirty_chunks) + len(s.ending) for s in sources)
+        found = {
+            "processor_lag_s": round(self.lag, 2) if self.lag > LAG_S else 0.0,
+            "changes_wait_s": round(w, 2) if (w := self.store.writes.wait(1)) > LAG_S else 0.0,
+            "values_to_write": float(backlog) if backlog > self.settings.txn_ops else 0.0,
+            "tasks_waiting": float(sum(js.waiting() for s in sources for w in s.waits.values() for js in w.values())),
+            "kinds_refused": float(sum(1 for until, _ in self.renter.refused.values() if until > now)) if self.renter is not None else 0.0,
+        }  # fmt: skip
+        return {k: v for k, v in found.items() if v}
+
     async def _direct(self, owner: Owner, m: Machine, body: dict[str, Any]) -> None:
         client = self.direct_clients.get(m.addr)
         if client is None:
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -13,7 +13,9 @@
 def status(node: Node) -> dict[str, Any]:
     """Everything the shards held here know."""
     now = time.monotonic()
-    out: dict[str, Any] = {"node": node.settings.name, "shards": {}, "teams": {}, "jobs": [], "machines": []}
+    out: dict[str, Any] = {
+        "node": node.settings.name, "shards": {}, "short": node.short(), "teams": {}, "jobs": [], "machines": [],
+    }  # fmt: skip
     for h in node.held.values():
         out["shards"][str(h.shard)] = h.epoch
         if h.source is not None:
@@ -55,8 +57,8 @@
     return "no machine has room"
 
 
-def show(address: str, job: str | None, as_json: bool) -> int:
-    """Ask a running controller and print."""
+def show(address: str, as_json: bool, job: str | None = None, team: str | None = None, machine: str | None = None) -> int:
+    """Ask a running controller and print: summaries first, then what waits; with a filter, all that it matches."""
     import json
     import urllib.error
     import urllib.request
@@ -67,18 +69,40 @@
     except (OSError, ValueError) as e:
         print(f"ploverhall: {address}: {e}", file=sys.stderr)
         return 1
-    jobs = [j for j in data["jobs"] if job is None or j["id"] == job]
+    chosen = job is not None or team is not None or machine is not None
+    jobs = [
+        j for j in data["jobs"]
+        if (job is None or j["id"] == job) and (team is None or j["team"] == team)
+        and (machine is None or any(t[1] == machine for t in j["tasks"]))
+    ]  # fmt: skip
+    machines = [m for m in data["machines"] if machine is None or m["name"] == machine]
     if as_json:
-        print(json.dumps({**data, "jobs": jobs}, indent=1))
+        print(json.dumps({**data, "jobs": jobs, "machines": machines}, indent=1))
         return 0
-    print(f"{data['node']} holds shards {', '.join(data['shards']) or 'none'}")
-    for name, t in sorted(data["teams"].items()):
-        print(f"team {name}: {t['cpus']:g} cpus, {t['gpus']:g} gpus; guaranteed {t['guarantee']}, at most {t['limit']}")
-    for j in jobs:
-        print(f"job {j['id']} ({j['kind']}, {j['team']}): {j['waiting']} waiting, {j['done']} done; {j['why']}")
-        for task, machine, state, why in j["tasks"] if job else ():
-            print(f"  {j['id']}/{task} on {machine}: {state} {why}")
-    for m in data["machines"]:
-        kind = f"{m['type']}, {m['zone']}{', spot' if m['spot'] else ''}"
-        print(f"machine {m['name']} ({kind}): {m['state']}, {m['tasks']} tasks, free {m['free']}")
+    print("\n".join(text(data, jobs, machines, chosen, job is not None or machine is not None, machine is not None)))
     return 0
+
+
+def text(data: Any, jobs: Any, machines: Any, chosen: bool, tasks: bool, one_machine: bool) -> list[str]:
+    """The lines for a person."""
+    out = [f"{data['node']} holds shards {', '.join(data['shards']) or 'none'}"]
+    short = ", ".join(f"{k} {v:g}" for k, v in data["short"].items())
+    out.append(f"short of: {short or 'nothing'}")
+    waiting = [j for j in jobs if j["waiting"]]
+    out.append(f"jobs: {len(jobs)}, of these {len(waiting)} with {sum(j['waiting'] for j in waiting)} tasks that wait")
+    states: dict[str, int] = {}
+    for m in machines:
+        states[m["state"]] = states.get(m["state"], 0) + 1
+    out.append(f"machines: {len(machines)}" + "".join(f", {n} {state}" for state, n in sorted(states.items())))
+    for name, t in sorted(data["teams"].items()):
+        out.append(f"team {name}: {t['cpus']:g} cpus, {t['gpus']:g} gpus; guaranteed {t['guarantee']}, at most {t['limit']}")
+    for j in jobs if chosen else waiting:
+        failed = f"; failed {j['failures']} times, last {j['last_failure']}" if j["failures"] else ""
+        out.append(f"job {j['id']} ({j['kind']}, {j['team']}): {j['waiting']} waiting, {j['done']} done; {j['why']}{failed}")
+        for task, machine, state, why in j["tasks"] if tasks else ():
+            out.append(f"  {j['id']}/{task} on {machine}: {state} {why}")
+    for m in machines:
+        if one_machine or (not chosen and m["state"] != "up"):
+            kind = f"{m['type']}, {m['zone']}{', spot' if m['spot'] else ''}"
+            out.append(f"machine {m['name']} ({kind}): {m['state']}, {m['tasks']} tasks, free {m['free']}")
+    return out
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -10,6 +10,7 @@
 from ploverhall import settings
 from ploverhall.control.node import Node
 from ploverhall.protocol import jobs
+from ploverhall.status import text
 from ploverhall.transport.http import Client, Server
 
 from .standins import Fleet, State
@@ -105,6 +106,8 @@
         assert (await call("GET", "/api/jobs/j-000003"))[1]["stance"] == "withdrawn"
         status = (await call("GET", "/status"))[1]
         assert status["teams"]["team"]["gpus"] == 0 and status["machines"]
+        shown = "\n".join(text(status, status["jobs"], status["machines"], False, False, False))
+        assert "short of:" in shown and f"machines: {len(status['machines'])}" in shown and "team team:" in shown
         huge = spec("j-000005", "array", 100_000, flightS=0.2)
         fleet.specs["j-000005"] = jobs.parse(huge, 0.0)
         assert (await call("POST", "/api/jobs", huge))[0] == 201
