--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -243,8 +243,9 @@
                 break
             cost, _, _, m = min((*self.score(job, m), m.name, m) for m in found)
             victims: tuple[Key, ...] = ()
-            if cost > WARM_S and only is None and (job.kind != "gang" or w.n == 1) and (way := self._warm_way(w, places, now)) is not None:
-                if way[0] < cost:
+            if job.image not in m.images and cost > WARM_S and only is None and (job.kind != "gang" or w.n == 1):
+                way = self._warm_way(w, places, now)
+                if way is not None and way[0] < cost:
                     cost, m, victims = way
             self.hold(w, m, cost, now, victims)
             if only is not None and self.fleet.units(m.free, self.fleet.types[m.type]) == 0:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -182,3 +182,41 @@
     assert len(m.tickets) == 4 and old not in m.tickets
     o.on_source(0, False, {**candidate(3), peers.permit_key(KEY): PermitNews("n-1", EPOCH, old, None)}, 5.2)
     assert state(o) == "permitted" and len(m.tickets) == 3
+
+
+def test_a_lone_replica_moves_to_a_fuller_machine_that_holds_its_image() -> None:
+    """Services end one by one: without this, machines stay up for one replica each."""
+    moved = []
+    for image_there in (True, False):
+        o = owner()
+        record = [*RECORD]
+        record[3], record[4] = "service", 0
+        on = {"n-1": [0], "n-2": [1, 2], "n-3": []}
+        permits: dict[str, Any] = {peers.job_key(KEY[0]): JobNews(record, [2.0, 1.0, 8.0], 1)}
+        for name, tasks in on.items():
+            for k in tasks:
+                permits[peers.permit_key((KEY[0], k, 5))] = PermitNews(name, EPOCH, 0, None)
+
+        def reports(o: Owner, now: float, seq: int, on: dict[str, list[int]] = on) -> None:
+            for name, tasks in on.items():
+                r = report(seq, EPOCH << TOKEN_BITS)
+                r.machine = name
+                r.tasks = {(KEY[0], k, 5): workers.Task("running", "", False) for k in tasks}
+                o.on_report(r, now)
+
+        reports(o, 0.0, 1, {n: [] for n in on})
+        o.on_source(0, True, permits, 0.0)
+        for m in o.machines.values():
+            o.commands(m, 0.0)
+        for seq, now in enumerate((1.0, 61.0, 72.0), start=2):
+            reports(o, now, seq)
+            for m in o.machines.values():
+                m.last_answer = now
+            if not image_there:
+                for m in o.machines.values():
+                    if m.name != "n-1":
+                        o.fleet.holders.get("i", {}).pop(m.name, None)
+            o.place(now)
+            o.tick(now)
+        moved.append([p.key[1] for p in o.permits.values() if p.evict])
+    assert moved == [[0], []]
