--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -119,7 +119,6 @@
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recent first
     draining: bool = False
     faulty_until: float = 0.0
-    parting_until: float = 0.0  # its replicas move elsewhere, so that it falls empty
     faults: dict[str, float] = field(default_factory=dict)  # job -> when it failed here
     inflight: set[Key] = field(default_factory=set)  # keys of runs in an unanswered /do
     busy: bool = False  # a /do is unanswered
@@ -198,7 +197,7 @@
         """Whether nothing new may go there."""
         return (
             m.expired or m.draining or m.notice_s is not None or not m.took or m.faulty_until > now
-            or m.parting_until > now or now - m.last_report > 2.0 * self.report_s + 1.5 or m.name in self.proven_gone
+            or now - m.last_report > 2.0 * self.report_s + 1.5 or m.name in self.proven_gone
         )  # fmt: skip
 
     # -- the index ---------------------------------------------------------------------------
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -19,9 +19,6 @@
 from ploverhall.protocol.workers import EXITED, Key, Report
 
 TOKEN_BITS = 20
-MOVE_EVERY_S = 10.0  # between two replicas moved: each is away for a moment
-SETTLED_S = 60.0  # a replica that has begun later is not moved
-LOOSE = 0.25  # share of a part that is free before replicas are moved together
 SWEEP_S = 0.25  # how often time itself is looked at for every machine
 
 
@@ -51,7 +48,6 @@
         self.dirty = True
         self.deposed_by = 0
         self.next_sweep = 0.0
-        self.next_move = now + SETTLED_S
         self.job_over: Callable[[str], bool] = lambda jid: False  # by this node's own copy of the store
 
     @property
@@ -320,60 +316,11 @@
             if (m.tickets or m.bucket is not None) and self.fleet.unusable(m, now):
                 self.placement.release(m)
                 self._touch(m)
-        if now >= self.next_move:
-            self.next_move = now + MOVE_EVERY_S
-            self._move(now)
         for m in forgotten:
             self.fleet.remove(m)
             self.fleet.permits.pop(m.name, None)
             self.seen[m.name] = None
 
-    def _move(self, now: float) -> None:
-        """Empty a machine that few replicas keep up, one replica at a time, onto machines that hold the image.
-
-        Services end one by one; after the last arrivals a sixth of the money went on places beside them
-        (kazi-bodi-grown). Only while much of the part is free, and never where the start would be slow.
-        """
-        if self.placement.waiting or len(self.synced) < self.sources:
-            return
-        total = free = 0
-        candidates: list[tuple[int, str, Machine, list[Permit]]] = []
-        for m in self.machines.values():
-            kind = self.types.get(m.type)
-            if kind is None or m.spot or m.expired or m.draining or m.notice_s is not None:
-                continue
-            total += self.fleet.units(kind.vec, kind)
-            free += self.fleet.units(m.free, kind)
-            here = [p for p in m.permits.values() if not p.gone]
-            if here and 2 * len(here) <= self.fleet.units(kind.vec, kind) and not m.tickets and all(self._settled(p, m, now) for p in here):
-                candidates.append((len(here), m.name, m, here))
-        for _, _, m, here in sorted(candidates, key=lambda c: c[:2])[:8]:
-            kind = self.types[m.type]
-            if free - self.fleet.units(m.free, kind) < max(self.fleet.units(kind.vec, kind), LOOSE * total):
-                return
-            if all(self._warmer_place(p, m, len(here), now) for p in here):
-                m.parting_until = now + 2.0 * MOVE_EVERY_S
-                here[0].evict = True
-                self.changed.add(here[0].key)
-                self._touch(m)
-                return
-
-    def _settled(self, p: Permit, m: Machine, now: float) -> bool:
-        info, t = self.fleet.info.get(p.key[0]), m.tasks.get(p.key)
-        return (
-            info is not None and info.kind == "service" and not p.evict and p.stop is None
-            and t is not None and t.state == "running" and p.ran_at is not None and now - p.ran_at > SETTLED_S
-        )  # fmt: skip
-
-    def _warmer_place(self, p: Permit, m: Machine, n: int, now: float) -> bool:
-        """Whether a replica could start at once on a fuller machine of the same zone."""
-        job = self.jobs.get(p.key[0])
-        return job is not None and any(
-            o is not m and o.zone == m.zone and not o.spot and (job.types is None or o.type in job.types)
-            and len(o.permits) > n and fits(p.vec, o.free) and not self.fleet.unusable(o, now)
-            for o in self.fleet.holders.get(p.image, {}).values()
-        )  # fmt: skip
-
     def machine_gone(self, names: list[str]) -> None:
         """The cloud confirmed that these machines are gone."""
         for name in names:
