--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import anyio
 
 from ploverhall import settings
-from ploverhall.bookkeeping.replica import NODE, SHARD
+from ploverhall.bookkeeping.replica import NODE, SHARD, cell_prefix
 from ploverhall.control.node import Held, Node
 from ploverhall.coordination.owner import Owner
+from ploverhall.coordination.source import Source
+from ploverhall.protocol import peers
 
 from .test_loopback import config
 
@@ -63,3 +67,31 @@
         assert 0 not in node.held
 
     anyio.run(play)
+
+
+def test_the_first_board_of_a_new_source_holds_every_permit() -> None:
+    """An owner that gets an empty one drops its permits and forgets the runs it has sent (kazi-bodi-grown rough: ran_twice)."""
+    sent: list[Any] = []
+
+    async def play() -> None:
+        node = a_node()
+        s = node.settings
+        held = node.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0))
+        team = node.layout.teams(0)[0]
+
+        async def read(prefix: str) -> dict[str, Any]:
+            entry = [3, 11, "n-1", 1, "a", 5, 2]
+            return {f"{prefix}0": ({"j-000001": [[1.0, 1.0, 1.0], [entry]]}, 4)} if prefix == cell_prefix(team) else {}
+
+        async def current() -> bool:
+            return True
+
+        async def first_write(held: Held, source: Source) -> None:
+            sent.extend(node.outbox.collect("c1", 1, lambda shard: "c1"))  # the link may be quicker than the engine
+
+        node.writing._read, node.following.current, node.writing._writer = read, current, first_write  # type: ignore[method-assign]
+        await node.writing.source(held)
+
+    anyio.run(play)
+    (to_part_1,) = [m for m in sent if m[0] == "s" and m[3] == 1]
+    assert to_part_1[4] and peers.permit_key(("j-000001", 3, 11)) in to_part_1[5]
