A controller that stood still reads first, and proves by a later read what it knows by its clock

Cause: silence counted as proof by this process's clock alone. Now time proves only once a read begun after the lease's end shows the part's epoch in force. A step that comes late is noticed in one place: queued messages are read before time passes for others. Also: a held shard whose key is gone is let go; an empty chunk left by a fence is deleted. Ruled out: late responses and late direct commands (fenced by session and token already).

--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -65,6 +66,12 @@
             await done.wait()
         return result[0]
 
+    def ask(self) -> None:
+        """A read is wanted soon, by nobody who waits for it."""
+        if not self.waiters:
+            self.waiters.append((anyio.Event(), [False]))
+        self.prove_wake.set()
+
     async def prove_loop(self) -> None:
         """One shared read for all polls that wait."""
         while True:
@@ -73,6 +80,7 @@
                 await self.prove_wake.wait()
             batch, self.waiters = self.waiters, []
             ok = False
+            begun = time.monotonic()
             try:
                 if self.node.replica.ready:
                     answer = await self.node.store.watch(PREFIX, self.node.replica.rev, 0)
@@ -82,6 +90,7 @@
                         ok = True
                         if self.node.replica.apply(*answer):
                             self.node.replica_news()
+                        self.node.proved(begun)
             except (Refused, Unknown):
                 pass
             for done, result in batch:
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -75,8 +75,9 @@
         name = self.node.settings.name
         holder, version = self.node.replica.holder(shard)
         held = self.node.held.get(shard)
-        if held is not None and version > held.epoch:
-            self.node.lose(shard, "taken over")
+        if held is not None and version != held.epoch and self.node.replica.rev >= held.epoch:
+            # another holds it, or its key went with a lease that ended while this controller stood still
+            self.node.lose(shard, "taken over" if version else "its key is gone")
             held = None
         home = self.node.layout.nodes[shard]
         _, home_version = self.node.replica.keys.get(NODE + home, (None, 0))
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -36,6 +36,9 @@
 from ploverhall.transport.peer import Link, Listener
 
 ENGINE_EVERY_S = 0.01
+ENGINE_IDLE_S = 0.1  # a step comes at least this often
+STOOD_S = 1.0  # a step later than this by so much: the process has stood still
+READ_FIRST_S = 0.1  # then what has queued up is read for so long
 VIEWS_EVERY_S = 0.5
 SHORT_EVERY_S = 10.0
 LAG_S = 0.25  # what is late by less is not worth a word
@@ -147,6 +150,20 @@
             self.outbox.drop(("s", "o", "d", "m", "c"), shard)
             log.info("shard lost", shard=shard, epoch=held.epoch, why=why)
 
+    def proved(self, begun: float) -> None:
+        """A read of the store begun then has shown who holds what."""
+        for h in self.held.values():
+            if self.replica.holder(h.shard)[1] == h.epoch:
+                h.owner.proved = max(h.owner.proved, begun)
+
+    def stood_still(self, s: float, now: float) -> None:
+        """A step came far later than it was due: what was believed before is old, and what came meanwhile is unread."""
+        log.info("stood still", seconds=round(s, 1), shards=",".join(map(str, self.held)) or "-")
+        for h in self.held.values():
+            h.owner.stood_still(s, now)
+        self.renting.stood_still()
+        self.following.ask()
+
     def job_vec(self, jid: str) -> tuple[float, float, float] | None:
         """What a task of a live job takes."""
         known = self.replica.live.get(jid)
@@ -245,11 +262,20 @@
 
     async def engine_loop(self) -> None:
         """Owners place, sources decide, boards go out."""
+        last = time.monotonic()
         while True:
-            with anyio.move_on_after(0.05 if any(h.source is not None and h.source.impatient for h in self.held.values()) else 0.1):
+            impatient = any(h.source is not None and h.source.impatient for h in self.held.values())
+            with anyio.move_on_after(ENGINE_IDLE_S / 2 if impatient else ENGINE_IDLE_S):
                 await self.wake.wait()
             self.wake = anyio.Event()
             now = time.monotonic()
+            late = now - last - ENGINE_IDLE_S - ENGINE_EVERY_S
+            if late > STOOD_S:
+                self.stood_still(late, now)
+                await anyio.sleep(READ_FIRST_S)  # what has queued up is read before time passes for others
+                now = time.monotonic()
+            self.lag = max(self.lag, late)
+            last = now
             if now - self.views_at > VIEWS_EVERY_S:
                 self.views_at = now
                 self._views(now)
@@ -269,14 +295,15 @@
                     break
             for link in self.links:
                 link.poke()
-            before = time.monotonic()
             await anyio.sleep(ENGINE_EVERY_S)
-            self.lag = max(self.lag, time.monotonic() - before - ENGINE_EVERY_S)
 
     def _step(self, held: Held, now: float) -> None:
         owner, source = held.owner, held.source
         owner.tick(now)
         owner.dirty = False
+        if owner.unproved:
+            owner.unproved = False
+            self.following.ask()
         owner.place(now)
         if self.settings.options.direct:
             for m, body in owner.direct_work(now):
--- a/ploverhall/control/renting.py
+++ b/ploverhall/control/renting.py
@@ -31,12 +31,17 @@
     def __init__(self, node: Node) -> None:
         self.node = node
         self.renter_orphan = 0.0
+        self.pending: list[tuple[str, Rent]] = []
         host, port = node.settings.cloud
         self.cloud = Client(host, port, keep=2)
 
+    def stood_still(self) -> None:
+        """What was to be rented was wanted then; others may rent by now."""
+        self.pending.clear()
+
     async def loop(self) -> None:
         """Hold the renter's role if nobody does, and play it."""
-        pending: list[tuple[str, Rent]] = []
+        pending = self.pending
         last_list = last_types = last_plan = 0.0
         while True:
             await anyio.sleep(0.25)
@@ -48,7 +53,7 @@
                 self.node.renter = None
             if self.node.renter is None:
                 self.node.outbox.drop(("r",), boards.RENTER)
-                pending = []
+                pending.clear()
                 if holder is None:
                     self.renter_orphan = self.renter_orphan or now
                     if now - self.renter_orphan < 0.1 + 0.5 * ((self.node.me + version) % len(self.node.layout.nodes)):
@@ -78,7 +83,7 @@
                     last_plan = now
                     plan = renter.plan(now, time.time())
                     if not pending:
-                        pending = [(renter.plea(), r) for r in plan.rent]
+                        pending += [(renter.plea(), r) for r in plan.rent]
                     for i in range(0, len(plan.give_back), 100):
                         await self._return(renter, plan.give_back[i : i + 100])
                 while pending and self.node.renter is renter:
@@ -93,7 +98,8 @@
                         renter.on_refused(r.kind, time.monotonic())
                     elif status in (429, 503):
                         break
-                    pending.pop(0)
+                    if pending and pending[0][0] == plea:
+                        pending.pop(0)
                     await anyio.sleep(1.2 / self.node.settings.cloud_rps)
             except Unreachable:
                 continue  # asked again under the same name: it gives the same answer
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -48,6 +48,8 @@
         self.dirty = True
         self.deposed_by = 0
         self.next_sweep = 0.0
+        self.proved = now  # begin of the newest read of the store that showed this owner's epoch in force
+        self.unproved = False  # a lease has run out by this clock, and a read must show who holds the part
         self.job_over: Callable[[str], bool] = lambda jid: False  # by this node's own copy of the store
 
     @property
@@ -285,6 +287,12 @@
             self.changed.add(p.key)
             self._act(m)
 
+    def stood_still(self, s: float, now: float) -> None:
+        """This process has stood still: what came meanwhile is still to be read, so nobody was silent for that time."""
+        for m in self.machines.values():
+            m.last_report = min(now, m.last_report + s)
+        self.next_sweep = now + SWEEP_S
+
     def tick(self, now: float) -> None:
         """Time passes: held room is freed, silent machines lose their lease."""
         self.placement.expire(now)
@@ -295,8 +303,14 @@
     def _sweep(self, now: float) -> None:
         forgotten = []
         for m in self.machines.values():
-            if m.took and not m.expired and now - max(m.last_answer, m.last_report) > self.lease_s * 1.002 + 1.0:
-                # it took this owner's token, and its lease has not been renewed since: it has killed everything
+            ends = max(m.last_answer, m.last_report) + self.lease_s * 1.002 + 1.0
+            if m.took and not m.expired and now > ends:
+                # it took this owner's token, and its lease has not been renewed since: it has killed everything.
+                # But only if nobody else could renew it: a controller that stood still wakes with old beliefs, and a
+                # source that doesn't follow the store just then would believe it. A read begun later shows who holds the part.
+                if self.proved <= ends:
+                    self.unproved = True
+                    continue
                 m.expired = True
                 m.busy = False
                 self._act(m)
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -274,6 +274,8 @@
         for key, (value, version) in found.items():
             chunk = Chunk(team, int(key.rsplit("/", 1)[1]), version)
             self.chunks[team][chunk.index] = chunk
+            if not value:
+                self.dirty_chunks.setdefault(chunk, False)  # written empty by a fence: to be deleted
             for jid, (vec, entries) in value.items():
                 for task, attempt, machine, part, zone, epoch, ticket in entries:
                     js = self.jobs.get(jid)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -113,10 +113,32 @@
     m.last_answer = 1.0
     o.tick(11.9)
     assert state(o) == "running"
+    o.proved = 12.1
     o.tick(12.2)
     assert state(o) == "gone"
 
 
+def test_a_controller_that_stood_still_proves_nothing_by_its_clock() -> None:
+    """Another may have answered its workers meanwhile: only a read begun after their lease shows that nobody could."""
+    o, m = started(direct=False)
+    o.on_report(report(2, m.token, listed("running")), 1.0)
+    m.last_answer = 1.0
+    o.tick(40.0)
+    assert state(o) == "running" and o.unproved
+    o.proved = 40.1
+    o.tick(41.0)
+    assert state(o) == "gone"
+
+
+def test_reports_that_lie_unread_are_no_silence() -> None:
+    """After standing still for 30 s the room on machines whose reports are still to be read stays in use."""
+    o, m = started(direct=False)
+    o.proved = 40.0
+    o.stood_still(30.0, 32.0)
+    o.tick(33.0)
+    assert state(o) != "gone" and not m.expired
+
+
 def test_a_permit_of_an_earlier_owner_is_not_started_again() -> None:
     o = owner()
     m = o.on_report(report(1, EPOCH << TOKEN_BITS), 0.0)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -13,7 +14,7 @@
 from .world import Broken, World, job
 
 
-def play(seed: int, chaos_s: float = 90.0, calm_s: float = 150.0, **kw: int) -> World:
+def play(seed: int, chaos_s: float = 90.0, calm_s: float = 150.0, **kw: Any) -> World:
     w = World(seed, **kw)
     rng = Random(seed + 1)
     for i in range(16):
@@ -28,6 +29,8 @@
     for worker in w.workers.values():
         worker.hung_until = min(worker.hung_until, w.now + 1.0)
     w.cuts.clear()
+    for node in w.nodes:
+        node.frozen_until = min(node.frozen_until, w.now)
     for s in [s for s in w.specs.values() if s.kind == "service"]:
         w.later(60.0, w.withdraw, s.id)
     w.run(chaos_s + calm_s)
@@ -45,6 +48,13 @@
     assert w.starts > 10
 
 
+@pytest.mark.parametrize("seed", range(40, 46))
+def test_controllers_that_stand_still_do_no_harm(seed: int) -> None:
+    """Pauses of any step, from a second to three leases, with watches that hang: every rule holds, and all of it finishes."""
+    w = play(seed, kinds=(4, 5))
+    assert not [k for k in w.store.kv if k.startswith((JOB, "c/"))]
+
+
 @pytest.mark.parametrize("seed", range(100, 106))
 def test_small_values_are_chunked(seed: int) -> None:
     """Many chunks a team: a late write must not bring a second permit of a task that stands in another chunk."""
@@ -53,16 +63,16 @@
     assert not [k for k in w.store.kv if k.startswith("c/")]
 
 
-def _seeds_until_broken(n: int = 25) -> bool:
-    for seed in range(n):
+def _seeds_until_broken(seeds: range = range(25), **kw: Any) -> bool:
+    for seed in seeds:
         try:
-            play(seed, calm_s=40.0)
+            play(seed, calm_s=40.0, **kw)
         except Broken:
             return True
     return False
 
 
-@pytest.mark.parametrize("guard", ["silence counts as gone", "no limit", "no zones"])
+@pytest.mark.parametrize("guard", ["silence counts as gone", "a woken controller believes its clock", "no limit", "no zones"])
 def test_the_judge_notices_a_missing_guard(guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """With one guard taken out, the world must see a rule broken; else it judges nothing."""
     if guard == "silence counts as gone":
@@ -77,8 +87,21 @@
             real(self, now)
 
         monkeypatch.setattr(Owner, "tick", tick)
+    elif guard == "a woken controller believes its clock":
+        real_tick = Owner.tick
+
+        def believing(self: Owner, now: float) -> None:
+            self.proved = now
+            real_tick(self, now)
+
+        monkeypatch.setattr(Owner, "tick", believing)
+        monkeypatch.setattr(Owner, "stood_still", lambda self, s, now: None)
     elif guard == "no limit":
         monkeypatch.setattr(Source, "headroom", lambda self, js: 1000)
     else:
         monkeypatch.setattr(Source, "zone_room", lambda self, js: None)
-    assert _seeds_until_broken()
+    if guard.startswith("a woken"):
+        # it takes a controller that stands still while another's watch hangs: seldom by chance, so a seed where it happens
+        assert _seeds_until_broken(range(40, 43), kinds=(4, 5))
+    else:
+        assert _seeds_until_broken()
--- a/tests/world.py
+++ b/tests/world.py
@@ -175,8 +175,12 @@
         self.w, self.index, self.zone, self.name = world, index, zone, f"c{index}"
         self.boot()
 
+    frozen_until = 0.0  # it stands still: nothing is read, done or sent, and its clock runs on
+    blind_until = 0.0  # its watch of the store hangs
+
     def boot(self) -> None:
         self.up_at = 0.0
+        self.stepped = self.w.now
         self.replica = Replica(ready=True)
         self.replica.load(self.w.store.read(PREFIX), self.w.store.rev)
         self.replica.changed_jobs.clear()
@@ -232,6 +236,10 @@
 
     def step(self) -> None:
         now = self.w.now
+        if now - self.stepped > 1.0:
+            for h in self.held.values():
+                h.owner.stood_still(now - self.stepped, now)
+        self.stepped = now
         for _ in range(3):
             for h in list(self.held.values()):
                 self._step(h, now)
@@ -254,14 +262,26 @@
     lives = 0
 
     def receive(self, batch: list[Any], lives: int) -> None:
-        if lives == self.lives and self.up:
+        if lives == self.lives and self.up and not self.w.asleep(self, self.receive, batch, lives):
             for m in batch:
                 if self.inbox.take(m):
                     self.dispatch(m)
 
+    def prove(self, lives: int, begun: float) -> None:
+        """A read of the store has shown who holds what."""
+        if lives != self.lives or self.w.asleep(self, self.prove, lives, begun):
+            return
+        self.replica.apply(self.w.store.rev, [e for e in self.w.store.log if e.key.startswith(PREFIX)])
+        self.news()
+        for h in self.held.values():
+            h.owner.proved = max(h.owner.proved, begun)
+
     def _step(self, h: Held, now: float) -> None:
         o, s = h.owner, h.source
         o.tick(now)
+        if o.unproved:
+            o.unproved = False
+            self.w.later(self.w.delay(), self.prove, self.lives, now)
         o.place(now)
         for m, body in o.direct_work(now):
             self.w.direct(self, h, m, _copy(body))
@@ -284,9 +304,10 @@
 class World:
     """Everything, and the judge of the rules."""
 
-    def __init__(self, seed: int, machines: int = 9, value_bytes: int = 4096, txn_ops: int = 8, chaos: float = 1.0) -> None:
+    def __init__(self, seed: int, machines: int = 9, value_bytes: int = 4096, txn_ops: int = 8, chaos: float = 1.0,
+                 kinds: tuple[int, ...] = tuple(range(7))) -> None:
         self.rng = Random(seed)
-        self.chaos = chaos
+        self.chaos, self.kinds = chaos, kinds
         self.now = 0.0
         self.n = 0
         self.queue: list[tuple[float, int, Any, tuple[Any, ...]]] = []
@@ -324,6 +345,13 @@
             what(*args)
         self.now = until
 
+    def asleep(self, node: Node, what: Any, *args: Any) -> bool:
+        """What reaches a controller that stands still lies unread until it wakes; in which order it goes on is not said."""
+        if self.now < node.frozen_until:
+            self.later(node.frozen_until - self.now + 0.06 * self.rng.random(), what, *args)
+            return True
+        return False
+
     def cut(self, a: Any, b: Any) -> bool:
         return self.cuts.get((min(a.name, b.name), max(a.name, b.name)), 0.0) > self.now
 
@@ -331,7 +359,7 @@
         self.later(2.0 + 6.0 * self.rng.random(), self.trouble)
         if self.chaos <= 0:
             return
-        kind = self.rng.randrange(5)
+        kind = self.rng.choice(self.kinds)
         if kind == 0:
             self.crash(self.rng.choice(self.nodes), self.rng.choice([0.5, 3.0, 15.0]))
         elif kind == 1:
@@ -345,6 +373,14 @@
         elif kind == 3:
             w = self.rng.choice(list(self.workers.values()))
             w.hung_until = self.now + self.rng.choice([3.0, 8.0, 25.0])
+        elif kind == 4:
+            for node in self.nodes:
+                if self.rng.random() < 0.4:
+                    node.frozen_until = self.now + self.rng.choice([1.0, 3.0, 8.0, 14.0, 30.0])
+                elif self.rng.random() < 0.5:
+                    node.blind_until = self.now + 20.0
+        elif kind == 5:
+            self.rng.choice(self.nodes).blind_until = self.now + self.rng.choice([2.0, 8.0, 20.0])
         else:
             node = self.rng.choice(self.nodes)
             for w in self.workers.values():
@@ -370,8 +406,8 @@
                 w.tick()
         self.gangs()
         for n in self.nodes:
-            if n.up:
-                if self.rng.random() < 0.7 or self.chaos <= 0:
+            if n.up and self.now >= n.frozen_until:
+                if (self.rng.random() < 0.7 and self.now >= n.blind_until) or self.chaos <= 0:
                     n.replica.apply(self.store.rev, [e for e in self.store.log[-400:] if e.key.startswith(PREFIX)])
                 n.news()
                 self.shards(n)
@@ -384,7 +420,7 @@
             holder = value["node"] if value else None
             if holder == n.name and (i not in n.held or n.held[i].epoch != version):
                 self.claim(n, i, version)
-            elif holder is None or not self.nodes[int(holder[1])].up:
+            elif holder is None or not self.nodes[int(holder[1])].up or self.nodes[int(holder[1])].frozen_until > self.now:
                 since = self.orphan.setdefault(i, self.now)
                 if i == n.index or self.now - since > 3.0:
                     self.claim(n, i, version)
@@ -402,7 +438,7 @@
         lives = node.lives
 
         def outcome(rev: int, failed: list[str], unknown: bool) -> None:
-            if node.lives != lives or node.held.get(h.shard) is not h:
+            if node.lives != lives or node.held.get(h.shard) is not h or self.asleep(node, outcome, rev, failed, unknown):
                 return
             h.busy = False
             if unknown:
@@ -456,6 +492,9 @@
     def answer(self, node: Node, w: Worker, body: dict[str, Any], sent: float, session: int, late: bool) -> None:
         if not node.up:
             return
+        if self.asleep(node, self.answer, node, w, body, sent, session, True):
+            w.home = (w.home + 1) % len(self.nodes)
+            return
         r = workers.parse(body)
         h = node.held.get(self.layout.part(r.zone, r.machine))
         m = h.owner.on_report(r, self.now) if h is not None else None
@@ -475,7 +514,7 @@
         fate = self.rng.random() if self.chaos > 0 else 0.0
 
         def done(report: dict[str, Any] | None) -> None:
-            if node.lives == lives and node.held.get(h.shard) is h:
+            if node.lives == lives and node.held.get(h.shard) is h and not self.asleep(node, done, report):
                 h.owner.direct_done(m, workers.parse(report) if report else None, self.now)
 
         def arrive(answer: bool) -> None:
