--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -81,6 +81,7 @@
     checkpoint_s: float
     save_s: float
     spot: bool  # could be on a cheap machine
+    broken: bool = False  # fails wherever it starts
 
     @property
     def grace(self) -> float:
@@ -119,7 +120,9 @@
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recent first
     draining: bool = False
     faulty_until: float = 0.0
-    faults: dict[str, float] = field(default_factory=dict)  # job -> when it failed here
+    faulty_since: float = 0.0
+    condemned: bool = False  # faulty for long enough to be given back
+    faults: dict[str, float] = field(default_factory=dict)  # job -> when it failed here; without jobs that fail everywhere
     inflight: set[Key] = field(default_factory=set)  # keys of runs in an unanswered /do
     busy: bool = False  # a /do is unanswered
     direct_after: float = 0.0
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -19,6 +19,9 @@
 from ploverhall.protocol.workers import EXITED, Key, Report
 
 TOKEN_BITS = 20
+FAULTS_S = 300.0  # how long a failure on a machine counts against it
+FAULTY_S = 600.0  # how long a machine on which two jobs have failed is not trusted
+DOUBT_S = 20.0  # before it is given back: a job that fails everywhere is found out sooner
 SWEEP_S = 0.25  # how often time itself is looked at for every machine
 
 
@@ -110,7 +113,12 @@
         if jid not in self.jobs:
             self.jobs[jid] = from_record(news.record)
         job = self.jobs[jid]
-        self.fleet.info[jid] = Info(job.rank, bool(news.within), job.team, job.kind, job.checkpoint_s, job.save_s, job.spot)
+        before = self.fleet.info.get(jid)
+        self.fleet.info[jid] = Info(
+            job.rank, bool(news.within), job.team, job.kind, job.checkpoint_s, job.save_s, job.spot, bool(news.broken)
+        )
+        if news.broken and not (before is not None and before.broken):
+            self._acquit(jid)
 
     def _forget(self, jid: str) -> None:
         self.jobs.pop(jid, None)
@@ -262,11 +270,26 @@
                 self.fleet.has_image(m, held.image, held.image_gb)
 
     def _fault(self, m: Machine, jid: str, now: float) -> None:
-        """A job that fails here may be at fault itself; two different jobs failing point at the machine."""
-        m.faults = {j: t for j, t in m.faults.items() if now - t < 300}
-        m.faults[jid] = now
+        """A job that fails here may be at fault itself; two different jobs failing point at the machine.
+
+        A job that its source knows to fail everywhere speaks against no machine: two such jobs took good machines away
+        one by one. Until that is settled the machine takes nothing new, but it is not given back.
+        """
+        info = self.fleet.info.get(jid)
+        m.faults = {j: t for j, t in m.faults.items() if now - t < FAULTS_S}
+        if info is not None and not info.broken:
+            m.faults[jid] = now
+        if len(m.faults) >= 2 and not m.faulty_until:
+            m.faulty_since = now
         if len(m.faults) >= 2:
-            m.faulty_until = now + 600
+            m.faulty_until = now + FAULTY_S
+
+    def _acquit(self, jid: str) -> None:
+        """A job fails everywhere: the machines that it failed on are not to blame for it."""
+        for m in self.machines.values():
+            if m.faults.pop(jid, None) is not None and len(m.faults) < 2 and m.faulty_until and not m.condemned:
+                m.faulty_until = m.faulty_since = 0.0
+                self._touch(m)
 
     def _check(self, p: Permit) -> None:
         """The proofs that a start is not on its machine and can't get there any more."""
@@ -328,8 +351,12 @@
             elif m.expired and now - m.last_report > 900 and not m.permits:
                 forgotten.append(m)
             elif m.faulty_until and m.faulty_until <= now:
-                m.faulty_until = 0.0
+                m.faulty_until = m.faulty_since = 0.0
+                m.condemned = False
                 self._touch(m)
+            elif m.faulty_until and not m.condemned and now - m.faulty_since > DOUBT_S:
+                m.condemned = True
+                self.seen[m.name] = m
             if (m.tickets or m.bucket is not None) and self.fleet.unusable(m, now):
                 self.placement.release(m)
                 self._touch(m)
@@ -465,7 +492,8 @@
         task = m.tasks.get(p.key) if m is not None else None
         if task is not None and not p.gone:
             notice = 1 if m is not None and m.notice_s is not None else 2 if p.evict else 0
-            return StartNews(task.state, task.why, int(task.saved), notice)
+            suspect = m is not None and task.why == "error" and any(j != p.key[0] for j in m.faults)
+            return StartNews(task.state, task.why, int(task.saved), notice, int(suspect))
         return StartNews("gone" if p.gone else "permitted", "", 0, 0)
 
     def take_news(self) -> dict[tuple[int, str], Any]:
@@ -499,7 +527,7 @@
         room = self.fleet.room(m)
         return MachineNews(
             m.type, m.zone, int(m.spot), [round(x, 3) for x in room], int(empty), int(m.draining), int(m.notice_s is not None),
-            int(m.faulty_until > now), int(firm), [round(x, 3) for x in self.fleet.firm_room(m, room)],
+            int(m.condemned), int(firm), [round(x, 3) for x in self.fleet.firm_room(m, room)],
         )  # fmt: skip
 
     def take_machine_news(self, now: float) -> dict[str, MachineNews | None]:
--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -336,7 +336,8 @@
 
     def _could_stop(self, w: Want) -> bool:
         """Whether there is any work that this candidate may stop."""
-        if w.job.rank >= LEAST_RANK and not w.within:
+        mine = self.fleet.info.get(w.job.id)
+        if (w.job.rank >= LEAST_RANK and not w.within) or (mine is not None and mine.broken):
             return False
         return any(self.may_stop(w, i) for i in self.fleet.info.values())
 
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -30,6 +30,10 @@
 FILL = 0.92  # of a value's limit that a chunk may take; the rest is room for what json may add
 TXN_BYTES = 56_000  # of the 64 KiB a transaction may take
 TEAM_EVERY_S = 0.2  # how often a team's waiting jobs are held against its limit anew
+WORKED_S = 10.0  # a task that has run for so long works: what fails by its own mistake fails as soon as it has its image
+AVOID_S = 120.0  # how long a machine is avoided by a job that failed there
+TRY_S, TRY_MOST_S = 5.0, 90.0  # first and longest pause between two tries of a job that fails everywhere
+REST_S, REST_MOST_S = 1.0, 60.0  # the same for one task that fails while its job works
 REVISIT_S = 1.0  # how often every job with offers is decided anew, whatever has been seen to change
 
 
@@ -52,6 +56,7 @@
     saved: bool = False
     notice: int = 0  # 1: its machine goes, 2: its room is needed
     stop: float | None = None
+    ran_at: float | None = None  # when it was first told to be running
     over: bool = False  # exited and recorded here, or proven gone: to be taken out of the cell
 
     def record(self) -> list[Any]:
@@ -146,8 +151,12 @@
     again: list[int] = field(default_factory=list)
     offers: dict[tuple[int, int], Offer] = field(default_factory=dict)
     not_before: float = 0.0
-    failed_on: dict[str, float] = field(default_factory=dict)
-    failures: int = 0
+    failed_on: dict[str, float] = field(default_factory=dict)  # machines that are avoided, and since when
+    task_failures: dict[int, int] = field(default_factory=dict)
+    resting: dict[int, float] = field(default_factory=dict)  # tasks that failed, and when they may be tried again
+    broken: bool = False  # it fails wherever it starts: its own fault, not the machines'
+    tries: int = 0  # since it has been taken for broken
+    failures: int = 0  # in all, for display
     last_failure: str = ""
     complete: bool = False  # every task done; the record of it is still to be written
     blocked: bool = False  # its key changed under a write: wait for the watch
@@ -193,9 +202,20 @@
 
     def put_back(self, task: int) -> None:
         """A task that had a start waits again."""
-        if task < self.fresh:
+        if task < self.fresh and task not in self.resting:
             heapq.heappush(self.again, task)
 
+    def rested(self, now: float) -> None:
+        """Tasks that may be tried again wait like any other."""
+        for task in [t for t, until in self.resting.items() if until <= now]:
+            del self.resting[task]
+            if task not in self.entries:
+                self.put_back(task)
+
+    def works(self, now: float) -> bool:
+        """Whether any of its tasks has been seen to do what it should: it completed, or it runs on."""
+        return self.done_count > 0 or any(e.running and e.ran_at is not None and now - e.ran_at > WORKED_S for e in self.entries.values())
+
 
 @dataclass(slots=True)
 class ChunkWrite:
@@ -260,7 +280,8 @@
         self.attempts = 0
         self.impatient = False  # a worse answer is being held back for a moment
         self.visits = 0  # jobs and entries looked at: what the tests of growth count
-        self.note: Callable[..., None] = lambda *a, **k: None
+        self.note: Callable[..., None] = lambda *a, **k: None  # what was decided on the way
+        self.report: Callable[..., None] = lambda *a, **k: None  # what a person should know
 
     # -- starting ----------------------------------------------------------------------------
 
@@ -471,6 +492,10 @@
         e.state, e.why, e.saved, e.notice = state, why, bool(news.saved), news.notice
         e.over = state in ("exited", "gone")
         js.running += e.running
+        if state == "running" and e.ran_at is None:
+            e.ran_at = now
+            if js.broken:
+                heapq.heappush(self.retries, (now + WORKED_S + 0.1, js.id))
         self.counted.add(js.id)
         if not e.over:
             if news.notice and js.job is not None:
@@ -485,12 +510,14 @@
                 self._complete(js)  # a gang completes together
             else:
                 js.mark(e.task)
+                if js.broken:
+                    self._blame(js, False, now)
                 if js.done_count == js.n:
                     self._complete(js)
             self.reorder.add(js.team)
             return
         if state == "exited" and why in ("error", "unknown", "no_room", "in_use"):
-            self._failed(js, e, why, now)
+            self._failed(js, e, why, bool(news.suspect), now)
         if js.job.kind == "gang":
             # the attempt is broken: the rest leaves, saving where that still helps, and it begins anew
             for other in js.entries.values():
@@ -514,20 +541,64 @@
         elif e.stop is None and (notice == 2 or grace > 0 or job.kind == "service"):
             self._stop(e, grace)
 
-    def _failed(self, js: JobState, e: Entry, why: str, now: float) -> None:
+    def _failed(self, js: JobState, e: Entry, why: str, suspect: bool, now: float) -> None:
+        """A start failed: by the machine's fault, or by the job's own if it fails on machines that nothing else speaks against.
+
+        One failing task rests while the others go on; only a job that works nowhere is held back as a whole.
+        """
         js.failures += 1
         js.last_failure = f"{why} on {e.machine}"
         self.note("failed", job=e.job, task=e.task, machine=e.machine, why=why, times=js.failures)
-        js.failed_on = {m: t for m, t in js.failed_on.items() if now - t < 120}
+        rest = 1.0 if why == "unknown" else 0.3
         if why == "error":
-            js.failed_on[e.machine] = now
-            if len(js.failed_on) >= 3 or js.failures >= 6:
-                js.not_before = now + min(60.0, 2.0 * js.failures)  # it fails everywhere: try it now and then
+            js.failed_on = {m: t for m, t in js.failed_on.items() if now - t < AVOID_S}
+            known = e.machine in js.failed_on
+            if not suspect:
+                js.failed_on[e.machine] = now
+            times = js.task_failures[e.task] = js.task_failures.get(e.task, 0) + 1
+            rest = 0.0 if times < 2 else min(REST_MOST_S, REST_S * 2.0 ** min(times - 2, 10))
+            if js.broken:
+                self._hold_back(js, now)
+            elif len(js.failed_on) >= 2 and not known and not js.works(now):
+                self._blame(js, True, now)
+        if rest > 0 and js.job is not None and js.job.kind == "gang":
+            js.not_before = max(js.not_before, now + rest)
+        elif rest > 0:
+            js.resting[e.task] = now + rest
+        if rest > 0 or js.not_before > now:
+            heapq.heappush(self.retries, (max(now + rest, js.not_before), js.id))
+        self.changed.add(js.id)
+
+    def _blame(self, js: JobState, broken: bool, now: float) -> None:
+        """The job itself is taken for broken, or has shown that it works."""
+        if js.broken == broken or js.job is None:
+            return
+        js.broken = broken
+        self.report("job fails everywhere" if broken else "job works again", job=js.id, team=js.team,
+                    machines=",".join(sorted(js.failed_on)), failures=js.failures)  # fmt: skip
+        self.changed.add(js.id)
+        self.hot.add(js.id)
+        self.reorder.add(js.team)
+        if broken:
+            js.tries = 0
+            self._hold_back(js, now)
+            for other in js.entries.values():
+                if not other.over and other.stop is None and other.state in ("permitted", "fetching"):
+                    self._stop(other, 0.0)
         else:
-            js.not_before = now + (1.0 if why == "unknown" else 0.3)
-        if js.not_before > now:
+            js.not_before = 0.0
+            js.failed_on.clear()
+            js.task_failures.clear()
+            for task in js.resting:
+                js.resting[task] = now
+            js.rested(now)
+
+    def _hold_back(self, js: JobState, now: float) -> None:
+        """It is tried now and then, ever more seldom: one task, or one whole gang."""
+        if now >= js.not_before:
+            js.not_before = now + min(TRY_MOST_S, TRY_S * 2.0 ** min(js.tries, 10))
+            js.tries += 1
             heapq.heappush(self.retries, (js.not_before, js.id))
-        self.changed.add(js.id)
 
     # -- deciding ----------------------------------------------------------------------------
 
@@ -563,6 +634,8 @@
             for _, jid in self.by_age[name] if team.cpus > 0 or team.gpus > 0 else ():
                 js = self.jobs[jid]
                 self.visits += 1
+                if js.broken:
+                    continue  # it keeps nobody's guarantee
                 total = add(total, js.vec, js.n - js.done_count)
                 if (team.cpus > 0 and total[0] > team.cpus + EPS) or (team.gpus > 0 and total[1] > team.gpus + EPS):
                     break  # and so are all later ones
@@ -579,13 +652,15 @@
         job = js.job
         assert job is not None
         due = job.at + (job.deadline_s if job.deadline_s is not None else 600.0)
-        return (0.0 if job.rank == 0 else 1.0, 0.0 if js.within else 1.0, float(job.rank), due)
+        return (2.0 if js.broken else 0.0 if job.rank == 0 else 1.0, 0.0 if js.within else 1.0, float(job.rank), due)
 
     def wanted(self, js: JobState, now: float) -> int:
         """How many candidates to keep in every part."""
         if js.job is None or js.blocked or js.complete or now < js.not_before:
             return 0
-        n = min(js.waiting(), self.headroom(js))
+        n = min(js.waiting() - sum(1 for t in js.resting if t not in js.entries), self.headroom(js))
+        if js.broken and js.job.kind != "gang":
+            n = min(n, 0 if js.entries else 1)
         if js.job.kind == "gang" and (js.entries or n < js.n):
             return 0  # all or nothing, and not while an old attempt's task is somewhere
         return max(0, n)
@@ -596,6 +671,10 @@
             _, jid = heapq.heappop(self.retries)
             self.changed.add(jid)
             self.hot.add(jid)
+            if (js := self.jobs.get(jid)) is not None:
+                js.rested(now)
+                if js.broken and js.works(now):
+                    self._blame(js, False, now)
         if self.moved and now >= self.next_team:
             self.next_team = now + TEAM_EVERY_S
             for team in self.moved:
@@ -885,7 +964,7 @@
                 self.waits[js.team][jid] = js
             else:
                 self.waits[js.team].pop(jid, None)
-            news = JobNews(js.job.record() if js.job is not None else None, list(js.vec), int(js.within))
+            news = JobNews(js.job.record() if js.job is not None else None, list(js.vec), int(js.within), int(js.broken))
             n = self.wanted(js, now)
             zones = self.zone_room(js) if n or js.unlanded else None
             for part in range(parts):
@@ -910,7 +989,7 @@
         left = {t: (team.cpus_max - self.used[t][0] if team.cpus_max > 0 else 1e18,
                     team.gpus_max - self.used[t][1] if team.gpus_max > 0 else 1e18) for t, team in self.teams.items()}  # fmt: skip
         for js in sorted((j for w in self.waits.values() for j in w.values() if j.job is not None), key=self.order):
-            n = 0 if js.not_before > now + 5 else js.waiting()
+            n = 0 if js.broken or js.not_before > now + 5 else js.waiting()
             cpus, gpus = left[js.team]
             if js.vec[0] > 0:
                 n = min(n, int(max(0.0, cpus) / js.vec[0] + EPS))
--- a/ploverhall/protocol/peers.py
+++ b/ploverhall/protocol/peers.py
@@ -20,6 +20,7 @@
     record: list[Any] | None
     vec: list[float]
     within: int  # of its team's guarantee
+    broken: int = 0  # it fails wherever it starts: no machine is to blame for it, and it may stop nothing
 
 
 class Candidate(NamedTuple):
@@ -57,6 +58,7 @@
     why: str
     saved: int
     notice: int  # 1: its machine goes, 2: its room is needed
+    suspect: int = 0  # other jobs have failed on this machine lately, too
 
 
 class MachineNews(NamedTuple):
