Late machines: what was seen of boots lately, by type and zone, decides what is counted on

Fixed multiples of the nominal boot time made a renter count late machines as none, rent them again, and return them just before they came. Now a machine is missing when those rented after it have come; where all are late a bounded share is rented again, where one zone is late the other is preferred; learnt boot times are forgotten after 300 s.

--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +16,8 @@
 from ploverhall.protocol.jobs import Job, from_record
 from ploverhall.protocol.peers import DemandNews, MachineNews
 
+USUAL = 1.6  # times the nominal boot time: what the cloud's machines usually need at most
+BOOTS_S = 300.0  # boots seen within this time count
 SLOT_S = 15.0  # arrivals are counted in slots of this length
 
 
@@ -114,6 +117,9 @@
         self.pleas = 0
         self.arrivals: dict[str, tuple[float, Job]] = {}  # jobs of the last minutes, for the spare room
         self.wall = 0.0
+        self.boots: dict[tuple[str, str], deque[tuple[float, float]]] = {}  # by type and zone: rented and up, newest last
+        self.young: dict[tuple[str, str], int] = {}  # machines that boot and are not overdue yet
+        self.overdue: dict[tuple[str, str], int] = {}  # machines that should be up, where none rented after them has come
 
     def plea(self) -> str:
         """A request name, used once."""
@@ -156,6 +162,9 @@
                 if name in self.gone:
                     continue
                 known = self._add(Rented(name, (view.type, view.zone, bool(view.spot)), now))
+            if known.view is None and not known.view_at:
+                seen = self.boots.setdefault(known.kind[:2], deque(maxlen=64))
+                seen.append((known.since, now))
             known.view, known.part, known.view_at = view, part, now
             if not view.empty:
                 known.idle_since = None
@@ -243,7 +252,7 @@
             silent = now - max(m.since, m.view_at)
             if m.returning or m.listed == "failed":
                 out.give_back.append(m.name)
-            elif m.view is None and m.listed == "booting" and m.age_s > 3.5 * boot + 20:
+            elif m.view is None and m.listed == "booting" and m.age_s > self._patience(m, boot, now):
                 out.give_back.append(m.name)  # it never comes up, and is charged until it is deleted
             elif m.view is None and m.listed == "running" and silent > 60 + 2 * self.lease_s and now - self.started > 60:
                 out.give_back.append(m.name)  # up, charged, and no worker reports
@@ -296,7 +305,8 @@
             # the busiest moment is left out: a lump (everyone submits when the service starts) is no rate,
             # and taking it for one rented a fleet's worth of idle machines (kazi-bodi, first minute)
             n = sum(slots[klass].values()) - max(slots[klass].values())
-            boot = min((t.boot_s for t in self.types.values() if fits(job.vec, t.vec)), default=0.0)
+            boots = [min(self._boot((t.name, z), now) for z in t.zones) for t in self.types.values() if t.zones and fits(job.vec, t.vec)]
+            boot = min(boots, default=0.0)
             mean = n / span * (boot + 20.0)
             out.append((job, max(1, math.ceil(mean + self.spare * math.sqrt(mean)))))
         return sorted(out, key=lambda x: -max(x[0].vec))
@@ -304,6 +314,7 @@
     def _bins(self, now: float, but: set[str]) -> tuple[Bins, Bins]:
         """Free and coming room; and the same with the room of work that may be stopped."""
         bins, firm = Bins(), Bins()
+        coming = self._count_booting(now)
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
             if t is None or m.drain or m.returning or m.name in but:
@@ -312,7 +323,7 @@
                 if not (v.draining or v.notice or v.faulty):
                     bins.add(m.kind, (v.room[0], v.room[1], v.room[2]))
                     firm.add(m.kind, (v.firm_room[0], v.firm_room[1], v.firm_room[2]))
-            elif self._coming(m, now):
+            elif coming.get(m.name):
                 bins.add(m.kind, t.vec)
                 firm.add(m.kind, t.vec)  # the same room, whoever takes it
         return bins, firm
@@ -346,11 +357,67 @@
             return self.wall - job.at > 120.0
         return self.wall + 1.3 * job.estimate_s + 60.0 > job.at + job.deadline_s
 
-    def _coming(self, m: Rented, now: float) -> bool:
-        t = self.types.get(m.kind[0])
-        boot = t.boot_s if t else 60.0
-        return m.view is None and not m.returning and m.listed != "failed" and (
-            now - m.since < 2.5 * boot + 15 and m.view_at == 0.0)
+    def _boot(self, place: tuple[str, str], now: float) -> float:
+        """How long a machine of this type takes to come up there: the nominal time, longer where that was seen lately."""
+        sold = self.types.get(place[0])
+        nominal = sold.boot_s if sold else 60.0
+        lately = sorted(up - since for since, up in list(self.boots.get(place, ()))[-8:] if now - up < BOOTS_S)
+        return nominal * min(6.0, max(1.0, lately[len(lately) // 2] / max(nominal, 1.0))) if lately else nominal
+
+    def _overtaken(self, m: Rented) -> bool:
+        """Machines rented after this one have come: it is this one that is late, not all of them."""
+        return sum(1 for since, _ in self.boots.get(m.kind[:2], ()) if since >= m.since - 1.0) >= 2
+
+    def _patience(self, m: Rented, nominal: float, now: float) -> float:
+        """At this age a machine that still boots is given back.
+
+        Where nothing comes any more it is the cloud that is late, and what is given back now might have come in the next
+        moment; what replaces it would come no sooner.
+        """
+        return 3.5 * self._boot(m.kind[:2], now) + 20.0 if self._overtaken(m) else 10.0 * nominal + 60.0
+
+    def _booting(self, m: Rented) -> bool:
+        return m.view is None and not m.returning and m.listed != "failed" and m.view_at == 0.0
+
+    def _late(self, place: tuple[str, str], now: float) -> bool:
+        """Whether machines there come late or not at all just now."""
+        sold = self.types.get(place[0])
+        return self.overdue.get(place, 0) > 0 or (sold is not None and self._boot(place, now) > 2.0 * sold.boot_s)
+
+    def _count_booting(self, now: float) -> dict[str, bool]:
+        """Which booting machines to count on.
+
+        A late one is not counted where others have overtaken it, or where another zone's machines come in time. Where all
+        are late, one in four is counted as missing, later one in two: what is rented twice stays bounded.
+        """
+        self.young, self.overdue = {}, {}
+        late: list[tuple[Rented, float]] = []
+        out: dict[str, bool] = {}
+        for m in self.machines.values():
+            if not self._booting(m):
+                continue
+            place = m.kind[:2]
+            boot = self._boot(place, now)
+            age = now - m.since
+            if age <= USUAL * boot + 5.0:
+                out[m.name] = True
+                self.young[place] = self.young.get(place, 0) + 1
+            elif self._overtaken(m):
+                out[m.name] = age <= 2.0 * boot + 5.0
+            else:
+                self.overdue[place] = self.overdue.get(place, 0) + 1
+                late.append((m, age / boot))
+        missing = 0.0
+        for m, times in late:
+            elsewhere = any(
+                p[0] == m.kind[0] and p != m.kind[:2] and not self._late(p, now) and seen and now - seen[-1][1] < BOOTS_S
+                for p, seen in self.boots.items()
+            )
+            missing += 1.0 if elsewhere or times > 8.0 else 0.5 if times > 3.0 else 0.25
+            out[m.name] = missing < 1.0
+            if missing >= 1.0:
+                missing -= 1.0
+        return out
 
     def _rents(self, now: float, out: Plan) -> None:
         bins, firm = self._bins(now, set())
@@ -414,10 +481,15 @@
                 for spot in (True, False) if job.spot and self._urgent(job) else (job.spot,):
                     if self._paused((t.name, z, spot), now):
                         continue
+                    late = self._late((t.name, z), now)
+                    missing = self.overdue.get((t.name, z), 0)
+                    fresh = self.young.get((t.name, z), 0) + sum(new.get((t.name, z, s), 0) for s in (True, False))
+                    if missing and fresh > 2 * missing + 10:
+                        continue  # more of what does not come is no help
                     price = (t.spot_price if spot else t.price) * per
                     load = self.load.get((t.name, z, spot), 0) + new.get((t.name, z, spot), 0)
-                    options.append((price, load, (t.name, z, spot)))
-        return min(options)[2] if options else None
+                    options.append((price, late, load, (t.name, z, spot)))
+        return min(options)[3] if options else None
 
     def drains(self, part: int) -> list[str]:
         """Machines of a part that should be empty."""
--- a/tests/test_renter.py
+++ b/tests/test_renter.py
@@ -7,7 +7,7 @@
 
 from ploverhall.coordination.fleet import add, fits
 from ploverhall.coordination.renter import Bins, Renter
-from ploverhall.protocol.cloud import MachineType
+from ploverhall.protocol.cloud import Listed, MachineType
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peers import DemandNews, MachineNews
 
@@ -65,6 +65,65 @@
     assert r.drains(0) == ["n-2", "n-3"], "five replicas need two machines of four"
 
 
+def play_boots(took: dict[str, float], until: float, jobs: int = 24) -> tuple[Renter, dict[str, float], dict[str, float]]:
+    """A renter whose machines come up after `took` by zone (absent: never); when each was rented, and when given back."""
+    r = renter()
+    r.on_source(0, True, {"j-000001": DemandNews(a_service("j-000001", 4 * jobs).record(), 4 * jobs, None, [0.0])})
+    rented: dict[str, float] = {}
+    given: dict[str, float] = {}
+    zone: dict[str, str] = {}
+    for step in range(int(until)):
+        now = float(step)
+        plan = r.plan(now, now)
+        for x in plan.rent:
+            names = [f"n-{len(rented) + i}" for i in range(x.count)]
+            rented.update(dict.fromkeys(names, now))
+            zone.update(dict.fromkeys(names, x.kind[1]))
+            r.on_rented(names, x.kind, x.count, now)
+        given.update(dict.fromkeys(plan.give_back, now))
+        r.on_gone(plan.give_back, now)
+        left = {n: z for n, z in zone.items() if n not in given}
+        r.on_list([Listed(n, "", "t", z, False, "booting", now - rented[n]) for n, z in left.items()], now, now)
+        up = [n for n, z in left.items() if z in took and now - rented[n] >= took[z]]
+        r.on_owner(0, False, {n: MachineNews("t", zone[n], 0, [0.0, 0.0, 0.0], 0, 0, 0, 0, 1, [0.0, 0.0, 0.0]) for n in up}, now)
+        if len(up) >= jobs:
+            r.on_source(0, True, {})
+    return r, rented, given
+
+
+def test_when_all_machines_come_late_few_are_rented_twice_and_none_goes_back_before_it_comes() -> None:
+    """At four times the boot time they were counted as none and rented again, then returned just before they came."""
+    _, rented, given = play_boots({"a": 90.0, "b": 90.0}, 160.0)
+    assert len(rented) <= 24 * 1.5 + 4
+    assert not [n for n, at in given.items() if at - rented[n] < 90.0]
+
+
+def test_a_late_zone_is_learnt_and_the_other_is_taken_instead() -> None:
+    _, rented, given = play_boots({"b": 20.0}, 300.0)
+    r, _, _ = play_boots({"b": 20.0}, 70.0)
+    assert sum(1 for m in r.machines.values() if m.view is not None) >= 24, "what does not come in one zone has come in the other"
+    assert len(rented) <= 24 * 2 + 8, "and it is not rented and returned in a circle"
+    assert all(at - rented[n] > 100 for n, at in given.items())
+
+
+def test_slow_boots_are_learnt_by_place_and_forgotten() -> None:
+    r = renter()
+    for i in range(6):
+        r.on_rented([f"n-{i}"], KIND, 1, 0.0)
+        r.on_owner(0, False, {f"n-{i}": view()}, 60.0)
+    assert r._boot(("t", "a"), 61.0) == 60.0 and r._boot(("t", "b"), 61.0) == 20.0
+    assert r._boot(("t", "a"), 400.0) == 20.0
+
+
+def test_a_machine_that_others_have_overtaken_is_replaced_and_given_back() -> None:
+    r = renter()
+    r.on_rented(["n-0", "n-1", "n-2"], KIND, 3, 0.0)
+    r.on_owner(0, False, {n: view() for n in ("n-1", "n-2")}, 20.0)
+    assert r._count_booting(30.0) == {"n-0": True} and r._count_booting(46.0) == {"n-0": False}
+    r.on_list([Listed("n-0", "", "t", "a", False, "booting", 95.0)], 95.0, 95.0)
+    assert r.plan(95.0, 95.0).give_back == ["n-0"]
+
+
 def test_hundreds_are_asked_for_at_once_in_requests_of_fifty() -> None:
     r = renter()
     r.on_source(0, True, {"j-000001": DemandNews(a_service("j-000001", 480).record(), 480, {"a": 480, "b": 0}, [0.0])})
