--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -19,6 +19,7 @@
 from ploverhall.control.membership import Membership
 from ploverhall.control.renting import Renting
 from ploverhall.control.requests import Requests
+from ploverhall.control.telling import Telling
 from ploverhall.control.writing import Writing
 from ploverhall.coordination import boards
 from ploverhall.coordination.boards import Inbox, Message, Outbox
@@ -90,6 +91,8 @@
         self.writing = Writing(self)
         self.renting = Renting(self)
         self.requests = Requests(self)
+        self.telling = Telling(self)
+        self.stood_at, self.stood_s = -1e9, 0.0  # when this process last stood still, and for how long
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -103,7 +106,7 @@
                 tg.start_soon(link.run)
             for loop in (
                 self.membership.lease_loop, self.following.watch_loop, self.following.prove_loop, self.membership.shard_loop,
-                self.engine_loop, self.renting.loop,
+                self.engine_loop, self.renting.loop, self.telling.loop,
             ):  # fmt: skip
                 tg.start_soon(self.guarded, loop)
             log.info("started", node=s.name, zone=s.zone, shards=len(s.nodes))
@@ -129,6 +132,10 @@
         """Whether a shard's holder can be heard, and says that none of its workers reports to it any more."""
         return self.heard(node, now) and self.peer_news[node][1].quiet.get(shard, 0.0) > 1.3 * self.settings.report_s + 0.3
 
+    def quiet_for(self, now: float) -> dict[int, float]:
+        """How long no worker of a shard held here has reported."""
+        return {h.shard: now - h.owner.reported for h in self.held.values() if h.owner.reported and h.owner.machines}
+
     def take(self, shard: int, epoch: int) -> None:
         """A shard is held from now on: serve its workers at once, its teams when their cells are read."""
         s, now = self.settings, time.monotonic()
@@ -164,7 +171,8 @@
 
     def stood_still(self, s: float, now: float) -> None:
         """A step came far later than it was due: what was believed before is old, and what came meanwhile is unread."""
-        log.info("stood still", seconds=round(s, 1), shards=",".join(map(str, self.held)) or "-")
+        log.warn("stood still", seconds=round(s, 1), shards=",".join(map(str, self.held)) or "-")
+        self.stood_at, self.stood_s = now, s
         for h in self.held.values():
             h.owner.stood_still(s, now)
         self.renting.stood_still()
@@ -224,10 +232,10 @@
             self.gossip_at[node] = now
             news = NodeNews(
                 now - self.store.last_ok, {h.shard: h.epoch for h in self.held.values()},
-                {h.shard: now - h.owner.reported for h in self.held.values() if h.owner.reported},
+                self.quiet_for(now),
             )  # fmt: skip
             out.append(["n", self.me, 0, 0, True, news, 0])
-        return out
+        return out + self.telling.collect(node, now)
 
     def deliver(self, node: str, batch: list[Message]) -> None:
         """A peer's messages."""
@@ -239,6 +247,8 @@
                     held = self.held.get(shard)
                     if held is not None and epoch > held.epoch:
                         self.lose(shard, f"{node} holds it")  # the state service may not be reached from here
+            elif message[0] in ("v", "q", "a"):
+                self.telling.deliver(node, message)
             elif self.inbox.take(message):
                 self.dispatch(message)
         self.poke()
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -46,7 +46,8 @@
                 if q.method == "POST" and verb == "withdraw":
                     return await self.withdraw(jid)
             if q.path == "/status" and q.method == "GET":
-                return Reply(200, self.status())
+                chosen = {k: v for k, v in q.query.items() if k in ("job", "team", "machine") and v}
+                return Reply(200, await self.node.telling.answer(chosen))
             return Reply(404, {"error": "no such path"})
         except Exception as e:
             log.error("request failed", path=q.path, error=repr(e), at=where(e))
@@ -204,9 +205,3 @@
             if jid not in self.node.replica.live and jid not in self.node.replica.ended:
                 return Reply(404, {"error": "no such job"})
         return Reply(503, {"error": "state unknown"}, 1.0)
-
-    def status(self) -> dict[str, Any]:
-        """What an operator wants to see."""
-        from ploverhall.status import status  # only when somebody asks
-
-        return status(self.node)
--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -49,6 +49,7 @@
     killed: float | None = None  # grace of the last kill sent directly
     refused: bool = False
     gone: bool = False
+    why: str = ""  # it is gone, for people
     victims: tuple[Key, ...] = ()
     ran_at: float | None = None  # when it was first seen running
     evict: bool = False  # a gang's task whose room is needed: its source stops the whole gang in order
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -297,15 +297,16 @@
             return
         m = self.machines.get(p.machine)
         if p.machine in self.fleet.proven_gone:
-            p.gone = True
+            p.gone, p.why = True, "its machine is gone"
         elif p.refused and p.run_token == 0 and p.epoch == self.epoch:
-            p.gone = True  # this owner offered the room and has never sent the run
+            p.gone, p.why = True, "its room was taken"  # this owner offered the room and has never sent the run
         elif m is not None and p.key not in m.tasks and m.took:
             if p.run_token:
                 # the newest list omits it under a token raised since the last run left, or the session rose
                 p.gone = m.seen_token > p.run_token or m.session > p.run_session
+                p.why = "its worker's lease ran out" if m.session > p.run_session else "its worker no longer has it"
             elif p.epoch < self.epoch:
-                p.gone = True  # earlier owners' runs bear tokens below the one the worker has taken
+                p.gone, p.why = True, "its worker no longer has it"  # earlier runs bear tokens below the one the worker has taken
             elif p.stop is not None and p.epoch == self.epoch:
                 p.gone = True  # never sent
         if p.gone:
@@ -342,7 +343,7 @@
                 self._act(m)
                 for p in m.permits.values():
                     if p.run_token or p.epoch < self.epoch or p.key in m.tasks:
-                        p.gone = True
+                        p.gone, p.why = True, p.why or "its worker was silent until its lease ran out"
                     else:
                         p.refused = True
                         self._check(p)
@@ -494,7 +495,7 @@
             notice = 1 if m is not None and m.notice_s is not None else 2 if p.evict else 0
             suspect = m is not None and task.why == "error" and any(j != p.key[0] for j in m.faults)
             return StartNews(task.state, task.why, int(task.saved), notice, int(suspect))
-        return StartNews("gone" if p.gone else "permitted", "", 0, 0)
+        return StartNews("gone", p.why, 0, 0) if p.gone else StartNews("permitted", "", 0, 0)
 
     def take_news(self) -> dict[tuple[int, str], Any]:
         """What has changed for the sources since the last time: (source, key) -> value."""
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -384,6 +384,15 @@
         sold = self.types.get(place[0])
         return self.overdue.get(place, 0) > 0 or (sold is not None and self._boot(place, now) > 2.0 * sold.boot_s)
 
+    def late(self, now: float) -> list[tuple[str, int, float]]:
+        """For people: where machines should be up and are not, how many, and the age of the oldest."""
+        out: dict[str, tuple[int, float]] = {}
+        for m in self.machines.values():
+            if self._booting(m) and now - m.since > 2.0 * self._boot(m.kind[:2], now) + 5.0:
+                n, age = out.get(f"{m.kind[0]} in {m.kind[1]}", (0, 0.0))
+                out[f"{m.kind[0]} in {m.kind[1]}"] = (n + 1, max(age, now - m.since))
+        return [(place, n, round(age, 1)) for place, (n, age) in sorted(out.items())]
+
     def _count_booting(self, now: float) -> dict[str, bool]:
         """Which booting machines to count on.
 
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -11,9 +11,10 @@
 import base64
 import heapq
 from bisect import insort
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -30,6 +31,7 @@
 FILL = 0.92  # of a value's limit that a chunk may take; the rest is room for what json may add
 TXN_BYTES = 56_000  # of the 64 KiB a transaction may take
 TEAM_EVERY_S = 0.2  # how often a team's waiting jobs are held against its limit anew
+REMEMBERED = 200  # starts that died and jobs that ended, for people who ask
 WORKED_S = 10.0  # a task that has run for so long works: what fails by its own mistake fails as soon as it has its image
 AVOID_S = 120.0  # how long a machine is avoided by a job that failed there
 TRY_S, TRY_MOST_S = 5.0, 90.0  # first and longest pause between two tries of a job that fails everywhere
@@ -161,7 +163,9 @@
     complete: bool = False  # every task done; the record of it is still to be written
     blocked: bool = False  # its key changed under a write: wait for the watch
     within: bool = False  # of its team's guarantee, together with the team's earlier jobs
-    since: float = 0.0
+    since: float = 0.0  # when it came, or a start of it last ended
+    came: float = 0.0  # when this source first knew of it
+    ran: bool = False  # all of its tasks have run at once
 
     @property
     def n(self) -> int:
@@ -249,6 +253,29 @@
         return [e for c in self.chunks for e in c.adds]
 
 
+class Death(NamedTuple):
+    """A start that ended without completing."""
+
+    at: float
+    job: str
+    task: int
+    machine: str
+    why: str
+
+
+class End(NamedTuple):
+    """A job that is over."""
+
+    at: float
+    job: str
+    team: str
+    how: str
+    done: int
+    tasks: int
+    failures: int
+    last_failure: str
+
+
 class Source:
     """Decides for the jobs of one shard's teams."""
 
@@ -279,6 +306,9 @@
         self.next_team = self.next_revisit = 0.0
         self.attempts = 0
         self.impatient = False  # a worse answer is being held back for a moment
+        self.deaths: deque[Death] = deque(maxlen=REMEMBERED)
+        self.ends: deque[End] = deque(maxlen=REMEMBERED)
+        self.usual: dict[str, float] = {}  # by class: how long its gangs and services wait until all their tasks run, lately
         self.visits = 0  # jobs and entries looked at: what the tests of growth count
         self.note: Callable[..., None] = lambda *a, **k: None  # what was decided on the way
         self.report: Callable[..., None] = lambda *a, **k: None  # what a person should know
@@ -301,7 +331,7 @@
                 for task, attempt, machine, part, zone, epoch, ticket in entries:
                     js = self.jobs.get(jid)
                     if js is None:
-                        js = self.jobs[jid] = JobState(jid, team, (vec[0], vec[1], vec[2]), since=now)
+                        js = self.jobs[jid] = JobState(jid, team, (vec[0], vec[1], vec[2]), since=now, came=now)
                     seen.add((jid, task, attempt))
                     e = js.entries.get(task)
                     if e is not None and e.attempt == attempt:
@@ -353,6 +383,8 @@
             if js is None:
                 return
             if js.job is not None:
+                how = "done" if js.complete else "withdrawn"
+                self.ends.append(End(now, jid, js.team, how, js.n if js.complete else js.done_count, js.n, js.failures, js.last_failure))
                 self.by_age[js.team].remove((js.job.at, jid))
                 self.garbage += [f"{progress_prefix(js.team)}{jid}/{k}" for k in js.stored_progress | js.dirty_progress]
             self.reorder.add(js.team)
@@ -366,7 +398,7 @@
             return
         self.reorder.add(job.team)
         if js is None:
-            js = self.jobs[jid] = JobState(jid, job.team, job.vec, since=now)
+            js = self.jobs[jid] = JobState(jid, job.team, job.vec, since=now, came=now)
         if js.job is None:
             insort(self.by_age[job.team], (job.at, jid))
             for e in js.entries.values():
@@ -494,6 +526,11 @@
         js.running += e.running
         if state == "running" and e.ran_at is None:
             e.ran_at = now
+            if js.job is not None and js.running == js.n and js.job.kind != "array" and not js.ran:
+                js.ran = True
+                known = self.usual.get(js.job.klass)
+                waited = now - js.came
+                self.usual[js.job.klass] = waited if known is None else 0.8 * known + 0.2 * waited
             if js.broken:
                 heapq.heappush(self.retries, (now + WORKED_S + 0.1, js.id))
         self.counted.add(js.id)
@@ -505,6 +542,8 @@
         self.dirty_chunks.setdefault(e.chunk, False)
         if js.job is None:
             return
+        if why != "done":
+            self.deaths.append(Death(now, e.job, e.task, e.machine, why or state))
         if state == "exited" and why == "done" and js.job.kind != "service":
             if js.job.kind == "gang":
                 self._complete(js)  # a gang completes together
--- a/ploverhall/log.py
+++ b/ploverhall/log.py
@@ -21,6 +21,11 @@
     _emit("error", what, fields)
 
 
+def warn(what: str, **fields: Any) -> None:
+    """A trouble that began or ended: shown at every level, for it may need a person."""
+    _emit("warning", what, fields)
+
+
 def info(what: str, **fields: Any) -> None:
     """Something that changed."""
     if _level >= 1:
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -1,4 +1,8 @@
-"""What a person called at night wants to see, from one place."""
+"""What a person called at night wants to see, from one place: what is wrong first, then what waits, died and ended.
+
+A controller's *view* is what it knows of the shards it holds, bounded in size; the views of all of them together are
+the answer (see control.telling).
+"""
 
 from __future__ import annotations
 
@@ -8,101 +12,246 @@
 
 if TYPE_CHECKING:
     from ploverhall.control.node import Node
+    from ploverhall.coordination.source import JobState, Source
+
+MOST = 40  # rows of one kind in a view
+MOST_TASKS = 100  # tasks of a job that was asked for
+SLOW_TIMES, SLOW_S = 4.0, 60.0  # a gang or service waits far longer than usual: so many times, and at least so long
+LATELY_S = 120.0  # a controller that stood still is named for so long
+STATE_S = 2.5  # a controller that the state service has not answered for longer is in trouble
 
 
-def status(node: Node) -> dict[str, Any]:
-    """Everything the shards held here know."""
+def view(node: Node, chosen: dict[str, str] | None = None) -> dict[str, Any]:
+    """What this controller sees; with a job, team or machine chosen, all that it knows of that."""
     now = time.monotonic()
     out: dict[str, Any] = {
-        "node": node.settings.name, "shards": {}, "short": node.short(), "teams": {}, "jobs": [], "machines": [],
+        "node": node.settings.name, "zone": node.settings.zone, "shards": {str(h.shard): h.epoch for h in node.held.values()},
+        "ready": node.replica.ready, "state_age_s": round(now - node.store.last_ok, 1), "short": node.short(),
+        "unheard": [p.name for p in node.settings.peers if not node.heard(p.name, now)],
+        "stood_still": [round(now - node.stood_at, 1), round(node.stood_s, 1)] if now - node.stood_at < LATELY_S else None,
+        "quiet_s": {str(k): round(v, 1) for k, v in node.quiet_for(now).items()},
+        "renter": node.renter is not None, "late": node.renter.late(now)[:MOST] if node.renter is not None else [],
+        "teams": {}, "queue": {}, "jobs": [], "machines": {}, "trouble_machines": [], "died": [], "ended": [], "left_out": 0,
     }  # fmt: skip
+    jobs: list[tuple[Any, str, Source, JobState, str]] = []
     for h in node.held.values():
-        out["shards"][str(h.shard)] = h.epoch
         if h.source is not None:
-            for name, team in h.source.teams.items():
-                used = h.source.used[name]
-                out["teams"][name] = {
-                    "cpus": used[0], "gpus": used[1], "guarantee": [team.cpus, team.gpus], "limit": [team.cpus_max, team.gpus_max],
-                }  # fmt: skip
+            _teams(out, h.source)
             for js in h.source.jobs.values():
-                out["jobs"].append({
-                    "id": js.id, "team": js.team, "kind": js.job.kind if js.job else "over", "waiting": js.waiting(),
-                    "done": js.done_count, "why": _why(h.source, js, now), "last_failure": js.last_failure,
-                    "failures": js.failures,
-                    "tasks": [[e.task, e.machine, e.state, e.why] for e in js.entries.values()][:50],
-                })  # fmt: skip
+                if chosen and not _chosen(js, chosen):
+                    continue
+                why = _why(h.source, js, now)
+                if why and js.job is not None:
+                    row = out["queue"].setdefault(why.partition(":")[0], [0, 0])
+                    row[0] += 1
+                    row[1] += js.waiting()
+                if chosen or why or js.broken:
+                    jobs.append(((not js.broken, *h.source.order(js)) if js.job else (True, 9.0), js.id, h.source, js, why))
+            for d in h.source.deaths:
+                if not chosen or chosen.get("job") == d.job or chosen.get("machine") == d.machine:
+                    out["died"].append([round(now - d.at, 1), d.job, d.task, d.machine, d.why])
+            for e in h.source.ends:
+                if not chosen or chosen.get("job") == e.job or chosen.get("team") == e.team:
+                    out["ended"].append([round(now - e.at, 1), *e[1:]])
         for m in h.owner.machines.values():
-            out["machines"].append({
-                "name": m.name, "type": m.type, "zone": m.zone, "spot": m.spot, "tasks": len(m.tasks),
-                "state": "silent" if m.expired else "leaving" if m.notice_s is not None else "not trusted" if m.faulty_until > now
-                else "draining" if m.draining else "up",
-                "free": [round(x, 2) for x in h.owner.fleet.room(m)],
-            })  # fmt: skip
+            state = "silent" if m.expired or now - m.last_report > 2 * node.settings.report_s + 1.5 else (
+                "leaving" if m.notice_s is not None else "not trusted" if m.faulty_until > now else "draining" if m.draining else "up")
+            out["machines"][state] = out["machines"].get(state, 0) + 1
+            if (chosen.get("machine") == m.name) if chosen else state not in ("up", "draining", "leaving"):
+                out["trouble_machines"].append({
+                    "name": m.name, "type": m.type, "zone": m.zone, "spot": m.spot, "tasks": len(m.tasks), "state": state,
+                    "silent_s": round(now - m.last_report, 1), "failed": sorted(m.faults),
+                    "free": [round(x, 2) for x in h.owner.fleet.room(m)],
+                })  # fmt: skip
+    jobs.sort(key=lambda x: x[:2])
+    out["left_out"] = max(0, len(jobs) - MOST)
+    out["jobs"] = [_job(source, js, why, now, chosen) for _, _, source, js, why in jobs[:MOST]]
+    for key in ("died", "ended"):
+        out[key].sort()
+    for key in ("trouble_machines", "died", "ended"):
+        out["left_out"] += max(0, len(out[key]) - MOST)
+        out[key] = out[key][:MOST]
     return out
 
 
-def _why(source: Any, js: Any, now: float) -> str:
+def choose(view: dict[str, Any], chosen: dict[str, str]) -> dict[str, Any]:
+    """What an older, whole view holds of what was asked for."""
+    if not chosen or not view:
+        return view
+    job, team, machine = chosen.get("job"), chosen.get("team"), chosen.get("machine")
+    return {
+        **view,
+        "jobs": [j for j in view["jobs"] if (not job or j["id"] == job) and (not team or j["team"] == team)
+                 and (not machine or any(t[1] == machine for t in j["tasks"]))],
+        "trouble_machines": [m for m in view["trouble_machines"] if m["name"] == machine],
+        "died": [d for d in view["died"] if d[1] == job or d[3] == machine],
+        "ended": [e for e in view["ended"] if e[1] == job or e[2] == team],
+    }  # fmt: skip
+
+
+def _chosen(js: JobState, chosen: dict[str, str]) -> bool:
+    machine = chosen.get("machine")
+    return (
+        chosen.get("job", js.id) == js.id and chosen.get("team", js.team) == js.team
+        and (not machine or any(e.machine == machine for e in js.entries.values()))
+    )  # fmt: skip
+
+
+def _teams(out: dict[str, Any], source: Source) -> None:
+    for name, team in source.teams.items():
+        used = source.used[name]
+        out["teams"][name] = {
+            "cpus": round(used[0], 2), "gpus": round(used[1], 2),
+            "guarantee": [team.cpus, team.gpus], "limit": [team.cpus_max, team.gpus_max],
+        }  # fmt: skip
+
+
+def _job(source: Source, js: JobState, why: str, now: float, chosen: dict[str, str] | None) -> dict[str, Any]:
+    states: dict[str, int] = {}
+    for e in js.entries.values():
+        states[e.state] = states.get(e.state, 0) + 1
+    klass = js.job.klass if js.job else ""
+    waits = round(now - js.since, 1) if js.job is not None and js.waiting() else 0.0
+    usual = source.usual.get(klass)
+    return {
+        "id": js.id, "team": js.team, "class": klass, "kind": js.job.kind if js.job else "over", "tasks": js.n, "waiting": js.waiting(),
+        "done": js.done_count, "states": states, "why": why, "waits_s": waits, "usual_s": round(usual, 1) if usual is not None else None,
+        "broken": js.broken, "failures": js.failures, "last_failure": js.last_failure, "ready": len(js.offers),
+        "places": [[e.task, e.machine, e.state, e.why] for e in js.entries.values()][: MOST_TASKS if chosen else 0],
+    }  # fmt: skip
+
+
+def _why(source: Source, js: JobState, now: float) -> str:
+    """For what a job waits; nothing if it doesn't."""
     if js.job is None:
-        return "over; its last tasks are stopping"
+        return "over: its last tasks are stopping"
+    if js.broken:
+        return f"it fails everywhere: tried again in {max(0.0, js.not_before - now):.0f} s"
     if js.waiting() == 0:
+        # a gang that has all its places but does not run waits for images, or for a task that is lost
+        if js.job.kind == "gang" and any(e.state == "waiting" for e in js.entries.values()):
+            late = sorted(e.machine for e in js.entries.values() if e.state in ("permitted", "fetching"))
+            return "its other tasks are not up yet: " + ", ".join(late[:5]) if late else ""
         return ""
-    if js.not_before > now:
-        return f"failed {js.failures} times ({js.last_failure}); tried again in {js.not_before - now:.0f} s"
+    if js.not_before > now or len(js.resting) >= js.waiting():
+        return f"it has just failed: tried again soon ({js.last_failure})"
     if js.job.kind == "gang" and js.entries:
-        return "tasks of its last attempt are still on: " + ", ".join(sorted({e.machine for e in js.entries.values()}))
+        return "tasks of its last attempt are still somewhere: " + ", ".join(sorted({e.machine for e in js.entries.values()})[:5])
     if source.headroom(js) < (js.n if js.job.kind == "gang" else 1):
-        return "the team is at its limit"
+        return "its team is at its limit"
     if js.offers:
-        return f"{len(js.offers)} places ready" + (f" of {js.n}" if js.job.kind == "gang" else "")
+        return f"part of its room is ready: {len(js.offers)} of {js.waiting()}"
     return "no machine has room"
 
 
+def troubles(view: dict[str, Any]) -> dict[str, str]:
+    """What is wrong in one controller's view, by a key that stays while it lasts. Keys with ~ only matter to who asks."""
+    out: dict[str, str] = {}
+    node = view["node"]
+    if view["state_age_s"] > STATE_S:
+        out["state"] = f"controller {node}: the state service has not answered it for {view['state_age_s']:.0f} s"
+    for peer in view["unheard"]:
+        out[f"peer {peer}"] = f"controller {node} can't hear {peer}"
+    if view["stood_still"]:
+        ago, s = view["stood_still"]
+        out["~stood"] = f"controller {node} stood still for {s:.0f} s, {ago:.0f} s ago"
+    for shard, s in view["quiet_s"].items():
+        if s > 10.0:
+            out[f"quiet {shard}"] = f"controller {node}: no worker of part {shard} has reported to it for {s:.0f} s"
+    if view["short"].get("processor_lag_s"):
+        out["~lag"] = f"controller {node} is short of processor: late by {view['short']['processor_lag_s']:g} s"
+    for j in view["jobs"]:
+        if j["broken"]:
+            out[f"broken {j['id']}"] = f"job {j['id']} ({j['team']}) fails everywhere: {j['failures']} times, last {j['last_failure']}"
+        elif j["kind"] in ("gang", "service") and j["waits_s"] > max(SLOW_S, SLOW_TIMES * (j["usual_s"] or 0.0)):
+            usual = f" (usually {j['usual_s']:.0f} s)" if j["usual_s"] is not None else ""
+            out[f"slow {j['id']}"] = f"{j['kind']} {j['id']} ({j['team']}) has waited {j['waits_s']:.0f} s{usual}: {j['why']}"
+    for place, n, s in view["late"]:
+        out[f"late {place}"] = f"{n} machines of {place} do not come: rented up to {s:.0f} s ago"
+    for m in view["trouble_machines"]:
+        what = f"silent for {m['silent_s']:.0f} s" if m["state"] == "silent" else f"not trusted, {', '.join(m['failed'][:4])} failed there"
+        out[f"~machine {m['name']}"] = f"machine {m['name']} ({m['type']}, {m['zone']}): {what}"
+    return out
+
+
+# -- the command ------------------------------------------------------------------------------
+
+
 def show(address: str, as_json: bool, job: str | None = None, team: str | None = None, machine: str | None = None) -> int:
-    """Ask a running controller and print: summaries first, then what waits; with a filter, all that it matches."""
+    """Ask a running controller and print: what is wrong, what waits, what died and ended; with a filter, all of that."""
     import json
     import urllib.error
+    import urllib.parse
     import urllib.request
 
+    chosen = {k: v for k, v in (("job", job), ("team", team), ("machine", machine)) if v}
     try:
-        with urllib.request.urlopen(f"http://{address}/status", timeout=5) as f:
+        query = "?" + urllib.parse.urlencode(chosen) if chosen else ""
+        with urllib.request.urlopen(f"http://{address}/status{query}", timeout=5) as f:
             data = json.load(f)
     except (OSError, ValueError) as e:
         print(f"ploverhall: {address}: {e}", file=sys.stderr)
         return 1
-    chosen = job is not None or team is not None or machine is not None
-    jobs = [
-        j for j in data["jobs"]
-        if (job is None or j["id"] == job) and (team is None or j["team"] == team)
-        and (machine is None or any(t[1] == machine for t in j["tasks"]))
-    ]  # fmt: skip
-    machines = [m for m in data["machines"] if machine is None or m["name"] == machine]
-    if as_json:
-        print(json.dumps({**data, "jobs": jobs, "machines": machines}, indent=1))
-        return 0
-    print("\n".join(text(data, jobs, machines, chosen, job is not None or machine is not None, machine is not None)))
+    print(json.dumps(data, indent=1) if as_json else "\n".join(text(data, chosen)))
     return 0
 
 
-def text(data: Any, jobs: Any, machines: Any, chosen: bool, tasks: bool, one_machine: bool) -> list[str]:
-    """The lines for a person."""
-    out = [f"{data['node']} holds shards {', '.join(data['shards']) or 'none'}"]
-    short = ", ".join(f"{k} {v:g}" for k, v in data["short"].items())
-    out.append(f"short of: {short or 'nothing'}")
-    waiting = [j for j in jobs if j["waiting"]]
-    out.append(f"jobs: {len(jobs)}, of these {len(waiting)} with {sum(j['waiting'] for j in waiting)} tasks that wait")
-    states: dict[str, int] = {}
-    for m in machines:
-        states[m["state"]] = states.get(m["state"], 0) + 1
-    out.append(f"machines: {len(machines)}" + "".join(f", {n} {state}" for state, n in sorted(states.items())))
-    for name, t in sorted(data["teams"].items()):
+def _ago(s: float) -> str:
+    return f"{s:.0f} s ago" if s < 120 else f"{s / 60:.0f} min ago"
+
+
+def text(data: dict[str, Any], chosen: dict[str, str]) -> list[str]:
+    """The lines for a person: what is wrong comes first."""
+    views = {name: c["view"] for name, c in data["controllers"].items() if c["view"]}
+    wrong: list[str] = []
+    for name, c in sorted(data["controllers"].items()):
+        if c["view"] is None:
+            wrong.append(f"controller {name} has not been heard of since {data['asked']} started: what it holds is not known")
+        elif c["age_s"]:
+            wrong.append(f"controller {name} can't be asked: what it held is as of {_ago(c['age_s'])}")
+    for v in views.values():
+        wrong += troubles(v).values()
+    held = {s for v in views.values() for s in v["shards"]}
+    wrong += [f"part {i} of the fleet is held by nobody that can be heard" for i in range(len(data["controllers"])) if str(i) not in held]
+    out = [f"wrong now: {len(wrong) or 'nothing'}", *(f"  {w}" for w in wrong)]
+    out += [
+        f"controller {name} ({v['zone']}): holds {', '.join(sorted(v['shards'])) or 'nothing'}"
+        + (", rents" if v["renter"] else "") + "".join(f", {k} {n:g}" for k, n in sorted(v["short"].items()))
+        for name, v in sorted(views.items())
+    ]  # fmt: skip
+    queue: dict[str, list[int]] = {}
+    machines: dict[str, int] = {}
+    for v in views.values():
+        for why, (jobs, tasks) in v["queue"].items():
+            row = queue.setdefault(why, [0, 0])
+            row[0] += jobs
+            row[1] += tasks
+        for state, n in v["machines"].items():
+            machines[state] = machines.get(state, 0) + n
+    out.append("machines: " + (", ".join(f"{n} {state}" for state, n in sorted(machines.items())) or "none"))
+    out.append("queued: " + ("nothing" if not queue else ""))
+    out += [f"  {jobs} jobs, {tasks} tasks: {why}" for why, (jobs, tasks) in sorted(queue.items(), key=lambda x: -x[1][1])]
+    for name, t in sorted((x for v in views.values() for x in v["teams"].items()), key=lambda x: x[0]):
         out.append(f"team {name}: {t['cpus']:g} cpus, {t['gpus']:g} gpus; guaranteed {t['guarantee']}, at most {t['limit']}")
-    for j in jobs if chosen else waiting:
+    for j in (j for v in views.values() for j in v["jobs"]):
+        states = "".join(f", {n} {state}" for state, n in sorted(j["states"].items()))
         failed = f"; failed {j['failures']} times, last {j['last_failure']}" if j["failures"] else ""
-        out.append(f"job {j['id']} ({j['kind']}, {j['team']}): {j['waiting']} waiting, {j['done']} done; {j['why']}{failed}")
-        for task, machine, state, why in j["tasks"] if tasks else ():
-            out.append(f"  {j['id']}/{task} on {machine}: {state} {why}")
-    for m in machines:
-        if one_machine or (not chosen and m["state"] != "up"):
+        why = f"; {j['why']}" if j["why"] else ""
+        waits = f" for {j['waits_s']:.0f} s" if j["waiting"] else ""
+        counts = f"{j['waiting']} of {j['tasks']} waiting{waits}, {j['done']} done{states}"
+        out.append(f"job {j['id']} ({j['kind']}, {j['team']}): {counts}{why}{failed}")
+        out += [f"  {j['id']}/{task} on {machine}: {state} {why}".rstrip() for task, machine, state, why in j["places"]]
+    if chosen:
+        for m in (m for v in views.values() for m in v["trouble_machines"]):
             kind = f"{m['type']}, {m['zone']}{', spot' if m['spot'] else ''}"
-            out.append(f"machine {m['name']} ({kind}): {m['state']}, {m['tasks']} tasks, free {m['free']}")
+            out.append(f"machine {m['name']} ({kind}): {m['state']}, {m['tasks']} tasks, free {m['free']}, heard {_ago(m['silent_s'])}")
+    died = sorted(d for v in views.values() for d in v["died"])[:MOST]
+    out += ["died lately:", *(f"  {_ago(at)}: {job}/{task} on {machine}: {why}" for at, job, task, machine, why in died)] if died else []
+    ended = sorted(e for v in views.values() for e in v["ended"])[:MOST]
+    out += ["ended lately:"] if ended else []
+    for at, job, team, how, done, tasks, failures, last in ended:
+        failed = f"; failed {failures} times, last {last}" if failures else ""
+        out.append(f"  {_ago(at)}: {job} ({team}): {how}, {done} of {tasks} tasks done{failed}")
+    if left := sum(v["left_out"] for v in views.values()):
+        out.append(f"({left} more rows left out; --job, --team and --machine show all that they match)")
     return out
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,125 @@
+"""One place that tells: all controllers' views in one answer, what is wrong first, bounded in size."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import anyio
+import orjson
+
+from ploverhall import settings, status
+from ploverhall.control.node import Held, Node
+from ploverhall.coordination.owner import Owner
+from ploverhall.protocol import peers
+from ploverhall.protocol.peers import StartNews
+
+from .test_loopback import config
+from .test_source import a_job, source
+from .test_trust import failed_on, play
+
+
+def three() -> list[Node]:
+    """Three controllers that know of one another; c0 and c1 can speak."""
+    nodes = []
+    for me in range(3):
+        data = config([1, 2, 3, 4])
+        data["host_name"] = f"c{me}"
+        data["siblings"] = [{"host_name": f"c{i}", "site": "a", "addr": f"127.0.0.1:{5 + i}"} for i in range(3) if i != me]
+        nodes.append(Node(settings.parse(data)))
+    return nodes
+
+
+def hold(node: Node, shard: int) -> Held:
+    s = node.settings
+    owner = Owner(shard, 7, 3, s.lease_s, s.report_s, 5.0, 5, node.rng, time.monotonic())
+
+    async def make() -> Held:
+        return Held(shard, 7, owner, source(30.0))
+
+    held = node.held[shard] = anyio.run(make)
+    return held
+
+
+def carry(a: Node, b: Node) -> None:
+    now = time.monotonic()
+    for one, other in ((a, b), (b, a)):
+        for m in one.telling.collect(other.settings.name, now):
+            other.telling.deliver(one.settings.name, m)
+
+
+def ask(a: Node, b: Node, chosen: dict[str, str]) -> Any:
+    async def run() -> Any:
+        out: list[Any] = []
+        for link in a.links:
+            link.up = link.name == b.settings.name
+
+        async def asking() -> None:
+            out.append(await a.telling.answer(chosen))
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(asking)
+            while not out:
+                carry(a, b)
+                await anyio.sleep(0.01)
+        return orjson.loads(orjson.dumps(out[0]))
+
+    return anyio.run(run)
+
+
+def test_any_controller_shows_the_whole_fleet_and_marks_what_is_old() -> None:
+    a, b, c = three()
+    held = hold(b, 1)
+    assert held.source is not None
+    held.source.on_job(a_job("j-000001", n=12), "j-000001", 5, 0.0)
+    play(held.source, 20, lambda job, task, machine, now: "error")
+    held.source.on_job(a_job("j-000002", kind="gang", n=3, klass="g"), "j-000002", 6, time.monotonic() - 300.0)
+    hold(c, 2)
+    a.telling.views["c2"] = (time.monotonic() - 34.0, status.view(c))
+    data = ask(a, b, {})
+    lines = status.text(data, {})
+    assert lines[0].startswith("wrong now:")
+    shown = "\n".join(lines)
+    first = shown[: shown.index("machines:")]
+    assert "j-000001 (t) fails everywhere" in first and "c2 can't be asked: what it held is as of 3" in first
+    assert "gang j-000002 (t) has waited 300 s: no machine has room" in first
+    assert "part 0 of the fleet is held by nobody that can be heard" in first and "part 2" not in first
+    assert "died lately:" in shown and "error" in shown[shown.index("died lately:") :]
+    only = "\n".join(status.text(ask(a, b, {"job": "j-000002"}), {"job": "j-000002"}))
+    assert "job j-000002" in only and "job j-000001 (array" not in only
+
+
+def test_a_view_is_bounded_whatever_waits() -> None:
+    (node, *_) = three()
+    held = hold(node, 0)
+    assert held.source is not None
+    for i in range(3000):
+        held.source.on_job(a_job(f"j-{i:06d}", n=40, at=float(i)), f"j-{i:06d}", 5, 0.0)
+        if i < 400:
+            failed_on(held.owner, f"j-{i}", f"n-{i}", i + 1)
+            failed_on(held.owner, f"k-{i}", f"n-{i}", i + 2)
+    view = status.view(node)
+    assert len(orjson.dumps(view)) < 40_000 and view["left_out"] > 2900
+    assert sum(jobs for jobs, _ in view["queue"].values()) == 3000
+
+
+def test_the_log_names_a_trouble_once_when_it_begins_and_once_when_it_ends() -> None:
+    (node, *_) = three()
+    held = hold(node, 0)
+    assert held.source is not None
+    held.source.on_job(a_job("j-000001", n=4), "j-000001", 5, 0.0)
+    play(held.source, 5, lambda job, task, machine, now: "error")
+    before = status.troubles(status.view(node))
+    assert "broken j-000001" in before
+    play(held.source, 60, lambda job, task, machine, now: "done", first=60)
+    after = status.troubles(status.view(node))
+    assert "broken j-000001" not in after and set(after) <= set(before)
+
+
+def test_what_died_says_where_and_why() -> None:
+    s = source()
+    s.on_job(a_job(n=1, kind="service"), "j-000001", 5, 0.0)
+    play(s, 3, lambda job, task, machine, now: "running")
+    (e,) = s.jobs["j-000001"].entries.values()
+    s.on_owner(0, 3, False, {peers.start_key((e.job, 0, e.attempt)): StartNews("gone", "its machine is gone", 0, 0)}, 9.0)
+    assert [(d.at, d.job, d.machine, d.why) for d in s.deaths] == [(9.0, "j-000001", e.machine, "its machine is gone")]
