A job's end takes the place of its description: one change instead of two; what ended long ago is archived

In place there is also no moment without either record. Beyond keep_ended jobs the oldest leave the followed prefix when nobody else wants to write, and are read when asked for.

--- a/ploverhall/bookkeeping/replica.py
+++ b/ploverhall/bookkeeping/replica.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from ploverhall.protocol import cloud, jobs
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.state import Event
 
 PREFIX = "p/"
-JOB, END, SHARD, NODE = "p/job/", "p/end/", "p/shard/", "p/node/"
+JOB, SHARD, NODE = "p/job/", "p/shard/", "p/node/"
 RENTER, TYPES, TYPE = "p/renter", "p/types", "p/type/"
+ARCHIVED = "p/archived"  # there is something under ARCHIVE
+ARCHIVE = "e/"  # jobs that ended long ago: followed by nobody, read when somebody asks
 
 
 def cell_prefix(team: str) -> str:
@@ -34,6 +36,24 @@
     return out if len(out) <= 120 else f"{out[:100]}~{len(out)}~{sum((i + 1) * ord(c) for i, c in enumerate(out)):x}"
 
 
+class Ended(NamedTuple):
+    """How a job ended, the number of its tasks done, and the version of its key."""
+
+    how: str
+    done: int
+    version: int
+
+
+def end_record(how: str, done: int) -> dict[str, Any]:
+    """What takes the place of a job's description when it is over: one change, and no moment without either."""
+    return {"s": how, "n": done}
+
+
+def ended(value: dict[str, Any], version: int) -> Ended:
+    """The inverse of end_record."""
+    return Ended(jobs.DONE if value.get("s") == jobs.DONE else jobs.WITHDRAWN, int(value.get("n") or 0), version)
+
+
 @dataclass(slots=True)
 class Replica:
     """Applies events once and in order of revision, from whichever watch brings them first."""
@@ -41,13 +61,13 @@
     rev: int = 0
     ready: bool = False
     live: dict[str, tuple[jobs.Job, int]] = field(default_factory=dict)
-    ended: dict[str, tuple[str, int]] = field(default_factory=dict)  # how, and the number of tasks done
+    ended: dict[str, Ended] = field(default_factory=dict)  # the oldest first
     keys: dict[str, tuple[Any, int]] = field(default_factory=dict)  # everything else, small
     changed_jobs: list[str] = field(default_factory=list)
 
     def load(self, found: dict[str, tuple[Any, int]], rev: int) -> None:
         """Start over from a listing whose first page had this revision."""
-        for key in [*(JOB + j for j in self.live), *self.keys]:
+        for key in [*(JOB + j for j in self.live), *(JOB + j for j in self.ended), *self.keys]:
             if key not in found:
                 self._apply(key, None, rev)
         for key, (value, version) in found.items():
@@ -69,19 +89,20 @@
     def _apply(self, key: str, value: Any, version: int) -> None:
         if key.startswith(JOB):
             jid = key[len(JOB) :]
-            if value is None:
+            if value is None:  # it was over and has been archived
+                self.ended.pop(jid, None)
+                if self.live.pop(jid, None) is None:
+                    return
+            elif isinstance(value, dict):
+                self.ended[jid] = ended(value, version)
                 self.live.pop(jid, None)
+            elif jid in self.ended:
+                return  # this node's own write, known before the watch brings what came before it
             elif jid not in self.live or self.live[jid][1] != version:
                 self.live[jid] = (jobs.from_record(value), version)
             else:
                 return
             self.changed_jobs.append(jid)
-        elif key.startswith(END):
-            if value is not None:
-                jid = key[len(END) :]
-                self.ended[jid] = (jobs.DONE if value.get("s") == "done" else jobs.WITHDRAWN, int(value.get("n") or 0))
-                self.live.pop(jid, None)
-                self.changed_jobs.append(jid)
         elif value is None:
             self.keys.pop(key, None)
         else:
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -92,6 +92,7 @@
         self.renting = Renting(self)
         self.requests = Requests(self)
         self.telling = Telling(self)
+        self.started = time.monotonic()
         self.stood_at, self.stood_s = -1e9, 0.0  # when this process last stood still, and for how long
 
     async def run(self) -> None:
@@ -106,7 +107,7 @@
                 tg.start_soon(link.run)
             for loop in (
                 self.membership.lease_loop, self.following.watch_loop, self.following.prove_loop, self.membership.shard_loop,
-                self.engine_loop, self.renting.loop, self.telling.loop,
+                self.engine_loop, self.renting.loop, self.telling.loop, self.writing.archive_loop,
             ):  # fmt: skip
                 tg.start_soon(self.guarded, loop)
             log.info("started", node=s.name, zone=s.zone, shards=len(s.nodes))
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -9,8 +9,11 @@
 
 from ploverhall import log
 from ploverhall.bookkeeping.replica import (
-    END,
+    ARCHIVE,
+    ARCHIVED,
     JOB,
+    end_record,
+    ended,
 )  # fmt: skip
 from ploverhall.coordination.fleet import fits
 from ploverhall.coordination.owner import TOKEN_BITS
@@ -112,7 +115,7 @@
     def state_of(self, jid: str) -> dict[str, Any] | None:
         """What users are told of a job, from the copy."""
         if (end := self.node.replica.ended.get(jid)) is not None:
-            return jobs.view(jid, end[0], end[1])
+            return jobs.view(jid, end.how, end.done)
         known = self.node.replica.live.get(jid)
         if known is None:
             return None
@@ -151,7 +154,7 @@
         except (orjson.JSONDecodeError, jobs.Malformed) as e:
             return Reply(400, {"error": str(e)})
         if (end := self.node.replica.ended.get(job.id)) is not None:
-            return Reply(200, jobs.view(job.id, *end))
+            return Reply(200, jobs.view(job.id, end.how, end.done))
         if not self.node.replica.ready or self.node.types is None:
             return Reply(503, {"error": "not ready"}, 1.0)
         if job.id in self.node.replica.live:
@@ -164,13 +167,12 @@
         if (wait := self.node.store.writes.wait(1)) > 1.5:
             return Reply(429, {"error": "busy"}, wait + 1)
         try:
-            rev, failed = await self.node.store.txn({JOB + job.id: 0, END + job.id: 0}, {JOB + job.id: record}, [])
+            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [])
         except (Refused, Unknown):
             return Reply(503, {"error": "not stored"}, 1.0)
         if failed:
-            if await self.node.following.current() and (known := self.state_of(job.id)) is not None:
-                return Reply(200, known)
-            return Reply(503, {"error": "state unknown"}, 1.0)
+            known = await self.known(job.id)
+            return Reply(200, known) if isinstance(known, dict) else known or Reply(503, {"error": "state unknown"}, 1.0)
         log.info("accepted", job=job.id, team=job.team, kind=job.kind, tasks=job.n)
         self.node.replica.put_own(JOB + job.id, record, rev)
         self.node.replica_news()
@@ -178,30 +180,49 @@
 
     async def poll(self, jid: str) -> Reply:
         """GET /api/jobs/{id}."""
+        known = await self.known(jid)
+        return Reply(200, known) if isinstance(known, dict) else known or Reply(404, {"error": "no such job"})
+
+    async def known(self, jid: str) -> dict[str, Any] | Reply | None:
+        """What is known of a job for certain; a refusal where it can't be known now, None where there is no such job."""
         if jid not in self.node.replica.ended and not await self.node.following.current():
             return Reply(503, {"error": "state unknown"}, 1.0)
-        known = self.state_of(jid)
-        return Reply(200, known) if known is not None else Reply(404, {"error": "no such job"})
+        state = self.state_of(jid)
+        if state is not None or ARCHIVED not in self.node.replica.keys:
+            return state
+        if self.node.store.requests.wait(self.node.store.requests.rate / 2) > 0:
+            return Reply(503, {"error": "busy"}, 1.0)  # who asks for old or unknown jobs never delays a lease or a permit
+        try:
+            value, version = await self.node.store.get(ARCHIVE + jid)
+        except (Refused, Unknown):
+            return Reply(503, {"error": "state unknown"}, 1.0)
+        if value is None:
+            return None
+        end = ended(value, version)
+        return jobs.view(jid, end.how, end.done)
 
     async def withdraw(self, jid: str) -> Reply:
         """POST /api/jobs/{id}/withdraw."""
         for _ in range(3):
             if (end := self.node.replica.ended.get(jid)) is not None:
-                return Reply(200, jobs.view(jid, *end))
+                return Reply(200, jobs.view(jid, end.how, end.done))
             known = self.node.replica.live.get(jid)
             if known is not None:
-                record = {"s": "withdrawn"}
+                record = end_record(jobs.WITHDRAWN, 0)
                 try:
-                    rev, failed = await self.node.store.txn({JOB + jid: known[1]}, {END + jid: record}, [JOB + jid])
+                    rev, failed = await self.node.store.txn({JOB + jid: known[1]}, {JOB + jid: record}, [])
                 except (Refused, Unknown):
                     return Reply(503, {"error": "not stored"}, 1.0)
                 if not failed:
                     log.info("withdrawn", job=jid)
-                    self.node.replica.put_own(END + jid, record, rev)
+                    self.node.replica.put_own(JOB + jid, record, rev)
                     self.node.replica_news()
                     return Reply(200, jobs.view(jid, jobs.WITHDRAWN))
-            if not await self.node.following.current():
-                return Reply(503, {"error": "state unknown"}, 1.0)
-            if jid not in self.node.replica.live and jid not in self.node.replica.ended:
+            state = await self.known(jid)
+            if state is None:
                 return Reply(404, {"error": "no such job"})
+            if isinstance(state, Reply):
+                return state
+            if state["stance"] in (jobs.DONE, jobs.WITHDRAWN):
+                return Reply(200, state)
         return Reply(503, {"error": "state unknown"}, 1.0)
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from itertools import islice
 from typing import TYPE_CHECKING, Any
+from zlib import crc32
 
 import anyio
 import anyio.abc
@@ -11,9 +13,12 @@
 from ploverhall import log
 from ploverhall.bookkeeping import images
 from ploverhall.bookkeeping.replica import (
-    END,
+    ARCHIVE,
+    ARCHIVED,
+    JOB,
     SHARD,
     cell_prefix,
+    end_record,
     progress_prefix,
 )  # fmt: skip
 from ploverhall.coordination.source import Source, Txn
@@ -23,6 +28,7 @@
     from ploverhall.control.node import Held, Node
 
 IMAGES_EVERY_S = 4.0
+ARCHIVE_EVERY_S = 1.0
 
 
 class Writing:
@@ -94,6 +100,31 @@
                 except (Refused, Unknown):
                     fleet.images_changed = True
 
+    async def archive_loop(self) -> None:
+        """Jobs that ended long ago leave every controller's memory: a bound on it, after days of swarms.
+
+        Each controller sees to a fixed share of them, when nobody else wants to write.
+        """
+        store, replica, s = self.node.store, self.node.replica, self.node.settings
+        while True:
+            await anyio.sleep(ARCHIVE_EVERY_S)
+            surplus = len(replica.ended) - s.options.keep_ended
+            if surplus <= 0 or not replica.ready or store.writes.wait(store.writes.rate) > 0:
+                continue
+            oldest = islice(replica.ended.items(), surplus)
+            mine = list(islice(((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.node.me), max(1, s.txn_ops // 2 - 1)))
+            if not mine:
+                continue
+            puts: dict[str, Any] = {ARCHIVE + j: end_record(e.how, e.done) for j, e in mine}
+            if ARCHIVED not in replica.keys:
+                puts[ARCHIVED] = 1
+            try:
+                # the watch takes them out of memory, together with the news that there is an archive: sooner, a poll
+                # would be told that there is no such job
+                await store.txn({JOB + j: e.version for j, e in mine}, puts, [JOB + j for j, _ in mine])
+            except (Refused, Unknown):
+                continue
+
     async def _writer(self, held: Held, source: Source) -> None:
         """Write what the source has decided, one transaction at a time."""
         while not held.lost:
@@ -123,7 +154,7 @@
                 await self._reread(held, source, txn, again)
             else:
                 for key, value in txn.puts.items():
-                    if key.startswith(END):
+                    if key.startswith(JOB):
                         self.node.replica.put_own(key, value, revision)
                 source.landed(txn, revision, now)
             self.node.replica_news()
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -397,7 +397,7 @@
         """Which booting machines to count on.
 
         A late one is not counted where others have overtaken it, or where another zone's machines come in time. Where all
-        are late, one in four is counted as missing, later one in two: what is rented twice stays bounded.
+        are late, every second one is counted as missing, so that what is rented twice stays bounded.
         """
         self.young, self.overdue = {}, {}
         late: list[tuple[Rented, float]] = []
@@ -422,7 +422,7 @@
                 p[0] == m.kind[0] and p != m.kind[:2] and not self._late(p, now) and seen and now - seen[-1][1] < BOOTS_S
                 for p, seen in self.boots.items()
             )
-            missing += 1.0 if elsewhere or times > 8.0 else 0.5 if times > 3.0 else 0.25
+            missing += 1.0 if elsewhere or times > 8.0 else 0.5
             out[m.name] = missing < 1.0
             if missing >= 1.0:
                 missing -= 1.0
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -18,10 +18,10 @@
 
 import orjson
 
-from ploverhall.bookkeeping.replica import END, JOB, SHARD, cell_prefix, progress_prefix
+from ploverhall.bookkeeping.replica import JOB, SHARD, cell_prefix, end_record, progress_prefix
 from ploverhall.coordination.fleet import EPS, Vec, add
 from ploverhall.protocol import peers
-from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.jobs import DONE, Job
 from ploverhall.protocol.peers import Candidate, DemandNews, JobNews, OfferNews, PermitNews, StartNews
 from ploverhall.settings import Team
 
@@ -833,13 +833,12 @@
         for js in self.ending.values():
             if js.blocked or js.job is None or JOB + js.id in txn.guards:
                 continue
-            if txn.ops + 2 > self.txn_ops or len(txn.guards) + 1 > self._max_guards or txn.size > TXN_BYTES:
+            if txn.ops + 1 > self.txn_ops or len(txn.guards) + 1 > self._max_guards or txn.size > TXN_BYTES:
                 break
             txn.guards[JOB + js.id] = js.version
-            txn.deletes.append(JOB + js.id)
-            txn.puts[END + js.id] = {"s": "done", "n": js.n}
+            txn.puts[JOB + js.id] = end_record(DONE, js.n)
             txn.ends.append(js)
-            txn.size += 300
+            txn.size += 150
         for chunk in [c for c, permits in self.dirty_chunks.items() if not permits]:
             if not self._plan_chunk(txn, chunk):
                 break
@@ -905,7 +904,7 @@
                 continue
             if not e.landed:
                 key = JOB + jid
-                if js.job is None or js.blocked or key in txn.deletes:
+                if js.job is None or js.blocked or key in txn.puts:
                     write.removes.append(e)  # never written: it just goes
                     continue
                 if key not in txn.guards:
--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -45,6 +45,7 @@
     spare: float = 1.4
     handback_s: float = 6.0
     direct: bool = True
+    keep_ended: int = 20_000
 
 
 @dataclass(slots=True, frozen=True)
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -26,7 +26,7 @@
     now = time.monotonic()
     out: dict[str, Any] = {
         "node": node.settings.name, "zone": node.settings.zone, "shards": {str(h.shard): h.epoch for h in node.held.values()},
-        "ready": node.replica.ready, "state_age_s": round(now - node.store.last_ok, 1), "short": node.short(),
+        "ready": node.replica.ready, "state_age_s": round(now - max(node.started, node.store.last_ok), 1), "short": node.short(),
         "unheard": [p.name for p in node.settings.peers if not node.heard(p.name, now)],
         "stood_still": [round(now - node.stood_at, 1), round(node.stood_s, 1)] if now - node.stood_at < LATELY_S else None,
         "quiet_s": {str(k): round(v, 1) for k, v in node.quiet_for(now).items()},
