--- a/tests/standins.py
+++ b/tests/standins.py
@@ -59,6 +59,9 @@
             found = s.read(q.query["starts"])
             items = [{"path": k, "v": v, "feather": r} for k, (v, r) in found.items() if k > q.query.get("from", "")]
             return Reply(200, {"items": items[:2], "hasNext": len(items) > 2, "moult": s.rev})  # small pages on purpose
+        if q.path.startswith("/kv/") and q.path[4:] in s.kv:
+            value, rev = s.kv[q.path[4:]]
+            return Reply(200, {"path": q.path[4:], "v": value, "feather": rev})
         if q.path == "/watch":
             since, until = int(q.query["from"]), time.monotonic() + int(q.query.get("holdMs", 0)) / 1000
             while True:
