Where changes run short the most important go first; what other controllers leave unused is lent

Cause: a controller's slice of the state service's changes was taken in the order in which chunks became dirty, and a write waited until the slice had room for all of it: permits of replicas behind a guest's tiny tasks. A write now takes what the slice holds at once, the most important jobs' changes first and every fourth time the oldest; controllers tell how many changes they make, and part of what is left is lent. Reads for polls and the watch pause when requests run short.

--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -44,7 +44,12 @@
                 continue
             if self.node.replica.apply(*answer):
                 self.node.replica_news()
-            await anyio.sleep(0.03)  # changes that come together are read together
+            await anyio.sleep(self._pause(0.03))  # changes that come together are read together
+
+    def _pause(self, least: float) -> float:
+        """Between two reads: longer when requests run short, so that leases and permits never wait for those who ask."""
+        requests = self.node.store.requests
+        return least if requests.free() > requests.rate / 2 else max(least, 4.0 / requests.rate)
 
     async def _load(self) -> None:
         found, rev = await self.node.store.read(PREFIX)
@@ -96,4 +101,4 @@
             for done, result in batch:
                 result[0] = ok
                 done.set()
-            await anyio.sleep(0.04)
+            await anyio.sleep(self._pause(0.04))
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -44,6 +44,8 @@
 VIEWS_EVERY_S = 0.5
 SHORT_EVERY_S = 10.0
 HEARD_S = 2.5  # a peer that has said nothing for longer can't be heard
+SHARE = 0.92  # of the state service's limits that the controllers use together
+LENT = 0.7  # of what another controller leaves unused: the rest is room for its next burst
 LAG_S = 0.25  # what is late by less is not worth a word
 
 
@@ -69,7 +71,7 @@
         self.layout = Layout(s.nodes, [t.name for t in s.teams])
         self.teams = {t.name: t for t in s.teams}
         self.me = self.layout.index[s.name]
-        share = 0.92 / len(s.nodes)
+        share = SHARE / len(s.nodes)
         self.store = Store(*s.state, rps=s.state_rps * share, write_rps=s.state_write_rps * share)
         self.replica = Replica()
         self.outbox, self.inbox = Outbox(), Inbox()
@@ -164,6 +166,12 @@
             self.outbox.drop(("s", "o", "d", "m", "c"), shard)
             log.info("shard lost", shard=shard, epoch=held.epoch, why=why)
 
+    def share(self, now: float) -> None:
+        """This controller's slice of the state service's changes: its own, and part of what the others leave unused."""
+        own = self.settings.state_write_rps * SHARE / len(self.layout.nodes)
+        left = sum(max(0.0, own - news.writes) for name, (_, news) in self.peer_news.items() if self.heard(name, now))
+        self.store.writes.rate = own + LENT * left / max(1, len(self.settings.peers))
+
     def proved(self, begun: float) -> None:
         """A read of the store begun then has shown who holds what."""
         for h in self.held.values():
@@ -233,7 +241,7 @@
             self.gossip_at[node] = now
             news = NodeNews(
                 now - self.store.last_ok, {h.shard: h.epoch for h in self.held.values()},
-                self.quiet_for(now),
+                self.quiet_for(now), self.store.writes.used(),
             )  # fmt: skip
             out.append(["n", self.me, 0, 0, True, news, 0])
         return out + self.telling.collect(node, now)
@@ -298,6 +306,7 @@
             last = now
             if now - self.views_at > VIEWS_EVERY_S:
                 self.views_at = now
+                self.share(now)
                 self._views(now)
             if now > self.next_short:
                 if self.next_short and (short := self.short()):
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -87,7 +87,7 @@
             keys = set(found)
             while not held.lost:
                 await anyio.sleep(IMAGES_EVERY_S)
-                if not fleet.images_changed or self.node.store.writes.wait(self.node.store.writes.rate / 2) > 0:
+                if not fleet.images_changed or self.node.store.writes.wait(self.node.store.writes.burst / 2) > 0:
                     continue  # a hint can wait for a quiet moment
                 fleet.images_changed = False
                 values = images.pack({m.name: m.images for m in fleet.machines.values()}, self.node.settings.value_bytes)
@@ -109,7 +109,7 @@
         while True:
             await anyio.sleep(ARCHIVE_EVERY_S)
             surplus = len(replica.ended) - s.options.keep_ended
-            if surplus <= 0 or not replica.ready or store.writes.wait(store.writes.rate) > 0:
+            if surplus <= 0 or not replica.ready or store.writes.wait(store.writes.burst) > 0:
                 continue
             oldest = islice(replica.ended.items(), surplus)
             mine = list(islice(((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.node.me), max(1, s.txn_ops // 2 - 1)))
@@ -128,7 +128,7 @@
     async def _writer(self, held: Held, source: Source) -> None:
         """Write what the source has decided, one transaction at a time."""
         while not held.lost:
-            txn = source.plan()
+            txn = source.plan(int(self.node.store.writes.free()))
             if txn is None:
                 held.wake = anyio.Event()
                 with anyio.move_on_after(0.5):
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -305,6 +305,8 @@
         self.retries: list[tuple[float, str]] = []
         self.next_team = self.next_revisit = 0.0
         self.attempts = 0
+        self.most_ops = txn_ops  # of the write being planned
+        self.crowded = 0  # writes that could not take all that waited
         self.impatient = False  # a worse answer is being held back for a moment
         self.deaths: deque[Death] = deque(maxlen=REMEMBERED)
         self.ends: deque[End] = deque(maxlen=REMEMBERED)
@@ -822,33 +824,53 @@
 
     # -- writing -----------------------------------------------------------------------------
 
-    def plan(self) -> Txn | None:
-        """The next write: permits first, then ends, then exits; as many as one transaction takes."""
+    def plan(self, most: int | None = None) -> Txn | None:
+        """The next write: permits first, then ends, then exits; as many as one transaction takes, or `most` changes.
+
+        Where more waits than that, the most important jobs' changes go first: permits of replicas stood behind those of
+        a guest's many tiny tasks. Every fourth such write takes what has waited longest, so that the rest goes on, too.
+        """
         txn = Txn({f"{SHARD}{self.shard}": self.epoch}, {}, [])
         if self.fences:
             return self._fence(txn)
-        for chunk in [c for c, permits in self.dirty_chunks.items() if permits]:
-            if not self._plan_chunk(txn, chunk):
-                break
-        for js in self.ending.values():
-            if js.blocked or js.job is None or JOB + js.id in txn.guards:
-                continue
-            if txn.ops + 1 > self.txn_ops or len(txn.guards) + 1 > self._max_guards or txn.size > TXN_BYTES:
+        self.most_ops = self.txn_ops if most is None else max(2, min(self.txn_ops, most))
+        work: list[Chunk | JobState] = [c for c, permits in self.dirty_chunks.items() if permits]
+        work += self.ending.values()
+        work += [c for c, permits in self.dirty_chunks.items() if not permits]
+        if len(work) > self.most_ops:
+            self.crowded += 1
+            if self.crowded % 4:
+                work.sort(key=self._urgency)
+        for item in work:
+            if not (self._plan_chunk(txn, item) if isinstance(item, Chunk) else self._plan_end(txn, item)):
                 break
-            txn.guards[JOB + js.id] = js.version
-            txn.puts[JOB + js.id] = end_record(DONE, js.n)
-            txn.ends.append(js)
-            txn.size += 150
-        for chunk in [c for c, permits in self.dirty_chunks.items() if not permits]:
-            if not self._plan_chunk(txn, chunk):
-                break
-        while self.garbage and txn.ops < self.txn_ops and txn.ops > 0 and txn.size < TXN_BYTES:
+        while self.garbage and txn.ops < self.most_ops and txn.ops > 0 and txn.size < TXN_BYTES:
             key = self.garbage.pop()
             if key not in txn.puts:
                 txn.deletes.append(key)  # of no use to anybody: if this write fails, the next source finds it
                 txn.size += len(key) + 40
         return txn if txn.ops else None
 
+    def _urgency(self, item: Chunk | JobState) -> tuple[float, ...]:
+        """Whose change is the more important one; of one job first its permits, then its end, then its exits."""
+        if isinstance(item, JobState):
+            return (*self.order(item)[:3], 1.0) if item.job is not None else (9.0,)
+        permits = self.dirty_chunks[item]
+        jobs = [js for jid in item.jobs if (js := self.jobs[jid]).job is not None and (not permits or js.unlanded)]
+        return (*min((self.order(js)[:3] for js in jobs), default=(9.0,)), 0.0 if permits else 2.0)
+
+    def _plan_end(self, txn: Txn, js: JobState) -> bool:
+        """Add a job's end to a write; False when there was no room for it."""
+        if js.blocked or js.job is None or JOB + js.id in txn.guards:
+            return True
+        if txn.ops + 1 > self.most_ops or len(txn.guards) + 1 > self._max_guards or txn.size > TXN_BYTES:
+            return False
+        txn.guards[JOB + js.id] = js.version
+        txn.puts[JOB + js.id] = end_record(DONE, js.n)
+        txn.ends.append(js)
+        txn.size += 150
+        return True
+
     def unknown(self, txn: Txn) -> None:
         """A write's outcome is not known: it may land at any later time, until its chunks have been written anew.
 
@@ -879,11 +901,11 @@
 
     def _plan_chunk(self, txn: Txn, chunk: Chunk) -> bool:
         """Add one chunk's value to a write, with what it depends on; False when there was no room for it."""
-        if txn.ops + 1 > self.txn_ops or len(txn.guards) + 2 > self._max_guards or txn.size + chunk.size + 300 > TXN_BYTES:
+        if txn.ops + 1 > self.most_ops or len(txn.guards) + 2 > self._max_guards or txn.size + chunk.size + 300 > TXN_BYTES:
             return False
         value: dict[str, Any] = {}
         write = ChunkWrite(chunk)
-        spare = self.txn_ops - txn.ops - 1
+        spare = self.most_ops - txn.ops - 1
         for (jid, task), e in sorted(chunk.entries.items()):
             self.visits += 1
             js = self.jobs[jid]
--- a/ploverhall/protocol/peers.py
+++ b/ploverhall/protocol/peers.py
@@ -91,6 +91,7 @@
     age: float  # of the state service's last answer
     epochs: dict[int, int]  # of the shards held
     quiet: dict[int, float]  # seconds since any worker of a shard held has reported
+    writes: float = 0.0  # changes a second made lately
 
 
 def job_key(job: str) -> str:
--- a/ploverhall/protocol/state.py
+++ b/ploverhall/protocol/state.py
@@ -27,19 +27,28 @@
     rate: float
     level: float = 0.0
     at: float = field(default_factory=time.monotonic)
+    taken: float = 0.0  # since counted
+    counted: float = field(default_factory=time.monotonic)
+    usual: float = 0.0
+    burst: float = 0.0  # at most so much at once, whatever the rate is by now
 
     def __post_init__(self) -> None:
-        self.level = self.rate
+        self.level = self.burst = self.rate
 
     def _fill(self) -> None:
         now = time.monotonic()
-        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
         self.at = now
 
     def wait(self, n: float) -> float:
         """Seconds until n may be taken."""
         self._fill()
-        return max(0.0, (min(n, self.rate) - self.level) / self.rate)
+        return max(0.0, (min(n, self.burst) - self.level) / self.rate)
+
+    def free(self) -> float:
+        """What may be taken at once."""
+        self._fill()
+        return self.level
 
     async def take(self, n: float, urgent: bool = False) -> None:
         """Take n, waiting for them unless urgent."""
@@ -47,6 +56,15 @@
             await anyio.sleep(w + 0.001)
         self._fill()
         self.level -= n
+        self.taken += n
+
+    def used(self) -> float:
+        """What was taken a second, lately."""
+        now = time.monotonic()
+        if (passed := now - self.counted) >= 0.5:
+            self.usual += (self.taken / passed - self.usual) * min(1.0, passed / 2.0)
+            self.taken, self.counted = 0.0, now
+        return self.usual
 
 
 @dataclass(slots=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import anyio
@@ -96,3 +97,18 @@
     anyio.run(play)
     (to_part_1,) = [m for m in sent if m[0] == "s" and m[3] == 1]
     assert to_part_1[4] and peers.permit_key(("j-000001", 3, 11)) in to_part_1[5]
+
+
+def test_what_other_controllers_leave_of_the_changes_is_lent() -> None:
+    """A swarm of one team waited for one controller's slice while the others' lay idle."""
+    node = a_node()
+    own = node.settings.state_write_rps * 0.92 / 2
+    now = time.monotonic()
+    node.share(now)
+    assert node.store.writes.rate == own, "a controller that can't be heard may be writing"
+    node.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, 0.0))
+    node.share(now)
+    assert own < node.store.writes.rate < 2 * own
+    node.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, own + 5.0))
+    node.share(now)
+    assert node.store.writes.rate == own
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -209,3 +209,26 @@
         told_keys.append(len(s.take_news(3, 3.1)))
         visits.append(s.visits - before)
     assert visits[1] <= 1.5 * visits[0] and told_keys == [7, 7]
+
+
+def test_where_changes_run_short_the_most_important_go_first_and_the_rest_goes_on() -> None:
+    """Permits of replicas stood behind those of a guest's many single jobs."""
+    s = Source(0, EPOCH, [Team("guest", 0, 0, 0, 0), Team("t", 0, 0, 4, 10)], ("a", "b"), 400, 8)
+    board: dict[str, Any] = {}
+    for i in range(200):
+        s.on_job(a_job(f"j-1{i:05d}", n=1, team="guest", rank=3, gpus=0.0), f"j-1{i:05d}", 5, 0.0)
+        board |= offers(1, first=i + 1, job=f"j-1{i:05d}")
+    s.on_owner(0, 3, True, board, 1.0)
+    s.decide(1.0)
+    s.on_job(a_job("j-000001", n=2, kind="service", rank=0), "j-000001", 6, 1.0)
+    s.on_owner(0, 3, False, offers(2, first=900), 1.1)
+    s.decide(1.2)
+    assert len(s.dirty_chunks) > 20
+    txn = s.plan(3)
+    assert txn is not None and txn.ops == 3 and sum(e.job == "j-000001" for e in txn.adds) == 2
+    s.landed(txn, 50, 1.3)
+    writes = 0
+    while (txn := s.plan(3)) is not None and writes < 100:
+        s.landed(txn, 51 + writes, 2.0)
+        writes += 1
+    assert all(e.landed for js in s.jobs.values() for e in js.entries.values()) and writes < 60
