--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -125,9 +125,10 @@
         if held is not None and held.source is not None:
             done, running = held.source.progress(jid)
         else:
-            for (kind, src, _), (_, state) in self.node.inbox.boards.items():
-                if kind == "c" and src == shard and jid in state:
-                    done, running = state[jid]
+            for dst in range(len(self.node.layout.nodes)):
+                counts = self.node.inbox.boards.get(("c", shard, dst))
+                if counts is not None and jid in counts[1]:
+                    done, running = counts[1][jid]
                     break
         return jobs.view(jid, jobs.RUNNING if running else jobs.QUEUED, done, running)
 
