--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -21,7 +21,8 @@
     end_record,
     progress_prefix,
 )  # fmt: skip
-from ploverhall.coordination.source import Source, Txn
+from ploverhall.coordination.ledger import Txn
+from ploverhall.coordination.source import Source
 from ploverhall.protocol.state import Refused, Unknown
 
 if TYPE_CHECKING:
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -12,7 +12,8 @@
 
 if TYPE_CHECKING:
     from ploverhall.control.node import Node
-    from ploverhall.coordination.source import JobState, Source
+    from ploverhall.coordination.ledger import JobState
+    from ploverhall.coordination.source import Source
 
 MOST = 40  # rows of one kind in a view
 MOST_TASKS = 100  # tasks of a job that was asked for
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from ploverhall.bookkeeping.replica import JOB
-from ploverhall.coordination.source import Source, Txn
+from ploverhall.coordination.ledger import Txn
+from ploverhall.coordination.source import Source
 from ploverhall.protocol import peers
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peers import OfferNews, StartNews
