Changes are taken in turn; guests' submissions stand aside and are refused sooner; dead fields out, one replay

Cause: every submission took the next change there was, and a writer that needs two never had them (test). The pooled client asks a GET again when a kept connection ends before its answer begins (RemoteProtocolError).

--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -149,9 +149,7 @@
         held = Held(shard, epoch, owner)
         self.held[shard] = held
         log.info("shard taken", shard=shard, epoch=epoch)
-        for (kind, src, dst), (e, state) in self.inbox.boards.items():
-            if dst == shard and kind in ("s", "r"):
-                self.dispatch([kind, src, e, dst, True, dict(state)])
+        self.replay(shard, ("s", "r"))
         self.tasks.start_soon(self.writing.source, held)
         self.tasks.start_soon(self.writing.images, held)
         self.poke()
@@ -288,6 +286,12 @@
             held.owner.set_drain(state.get("drain") or [])
             held.owner.machine_gone(state.get("gone") or [])
 
+    def replay(self, role: int, kinds: tuple[str, ...]) -> None:
+        """Hand a role all that it has been told so far."""
+        for (kind, src, dst), (epoch, state) in list(self.inbox.boards.items()):
+            if dst == role and kind in kinds:
+                self.dispatch([kind, src, epoch, dst, True, dict(state)])
+
     async def engine_loop(self) -> None:
         """Owners place, sources decide, boards go out."""
         last = time.monotonic()
@@ -343,9 +347,9 @@
             source.decide(now)
             if source.dirty_chunks or source.ending:
                 held.wake.set()
-            self._tell_owners(held, source, now)
+            self.tell_owners(held, source, now)
 
-    def _tell_owners(self, held: Held, source: Source, now: float) -> None:
+    def tell_owners(self, held: Held, source: Source, now: float) -> None:
         """What owners must hear goes on their boards.
 
         A new source's boards are filled in the same breath in which they are made: an owner that got an empty one
--- a/ploverhall/control/renting.py
+++ b/ploverhall/control/renting.py
@@ -123,9 +123,7 @@
         for job, _ in self.node.replica.live.values():
             self.node.renter.on_job(job, now - max(0.0, time.time() - job.at))
         log.info("renter", epoch=epoch)
-        for (kind, src, dst), (e, state) in list(self.node.inbox.boards.items()):
-            if dst == boards.RENTER:
-                self.node.dispatch([kind, src, e, dst, True, state])
+        self.node.replay(boards.RENTER, ("d", "m"))
         self.node.poke()
         return True
 
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -26,12 +26,15 @@
 if TYPE_CHECKING:
     from ploverhall.control.node import Node
 
+WAIT_S, GUEST_WAIT_S = 1.5, 0.5  # a submission that would wait for longer is refused at once, and told when to come back
+
 
 class Requests:
     """What users, workers and the load balancer ask."""
 
     def __init__(self, node: Node) -> None:
         self.node = node
+        self.storing = 0  # submissions that wait to be written
 
     async def handle(self, q: Request) -> Reply:
         """Route one request."""
@@ -165,12 +168,20 @@
         record = job.record()
         if len(orjson.dumps(record)) > self.node.settings.value_bytes - 64:
             return Reply(400, {"error": "description too long to be kept"})
-        if (wait := self.node.store.writes.wait(1)) > 1.5:
+        writes, team = self.node.store.writes, self.node.teams[job.team]
+        guest = team.cpus <= 0 and team.gpus <= 0
+        # a guest's swarm takes what the writer of permits and teams with a guarantee leave
+        reserve = writes.burst / 2.0 if guest else 0.0
+        wait = writes.wait(1 + reserve) + self.storing / writes.rate
+        if wait > (GUEST_WAIT_S if guest else WAIT_S):
             return Reply(429, {"error": "busy"}, wait + 1)
+        self.storing += 1
         try:
-            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [])
+            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [], reserve=reserve)
         except (Refused, Unknown):
             return Reply(503, {"error": "not stored"}, 1.0)
+        finally:
+            self.storing -= 1
         if failed:
             known = await self.known(job.id)
             return Reply(200, known) if isinstance(known, dict) else known or Reply(503, {"error": "state unknown"}, 1.0)
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -60,18 +60,12 @@
                 source.install_cell(t.name, cells[t.name], now)
                 source.install_progress(t.name, progress[t.name])
             held.source = source
-            self.node._tell_owners(held, source, now)
-            self._owners_again(held)
+            self.node.tell_owners(held, source, now)
+            self.node.replay(held.shard, ("o",))  # it may not have known the starts that this was about
             log.info("source ready", shard=held.shard, epoch=held.epoch, jobs=len(source.jobs))
             self.node.poke()
             await self._writer(held, source)
 
-    def _owners_again(self, held: Held) -> None:
-        """Hand the source all that owners have said: it may not have known the starts that it was about."""
-        for (kind, src, dst), (e, state) in list(self.node.inbox.boards.items()):
-            if dst == held.shard and kind == "o":
-                self.node.dispatch([kind, src, e, dst, True, dict(state)])
-
     async def _read(self, prefix: str) -> dict[str, tuple[Any, int]]:
         while True:
             try:
@@ -167,7 +161,7 @@
         for team in teams:
             found = await self._read(cell_prefix(team))
             source.install_cell(team, found, time.monotonic())
-        self._owners_again(held)
+        self.node.replay(held.shard, ("o",))  # it may not have known the starts that this was about
         if txn.ends:
             await self.node.following.current()
         self.node.replica_news()
--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -116,7 +116,6 @@
     tasks: dict[Key, Task] = field(default_factory=dict)
     last_report: float = 0.0
     last_answer: float = 0.0
-    first: float = 0.0
     expired: bool = False  # silent for longer than its lease
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recent first
     draining: bool = False
--- a/ploverhall/coordination/ledger.py
+++ b/ploverhall/coordination/ledger.py
@@ -45,7 +45,6 @@
     landed: bool = False
     state: str = "permitted"
     why: str = ""
-    saved: bool = False
     notice: int = 0  # 1: its machine goes, 2: its room is needed
     stop: float | None = None
     ran_at: float | None = None  # when it was first told to be running
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -223,7 +223,7 @@
             return None
         m = self.machines.get(r.machine)
         if m is None:
-            m = Machine(r.machine, r.addr, r.type, r.zone, r.spot, self.epoch << TOKEN_BITS, first=now)
+            m = Machine(r.machine, r.addr, r.type, r.zone, r.spot, self.epoch << TOKEN_BITS)
             m.draining = r.machine in self.drain
             m.permits = self.fleet.permits.setdefault(r.machine, {})
             self.fleet.stock(m, self.fleet.remembered.pop(r.machine, {}))
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -70,7 +70,7 @@
             return
         self.note("task", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, state=state, why=why or "-")
         js.running -= e.running
-        e.state, e.why, e.saved, e.notice = state, why, bool(news.saved), news.notice
+        e.state, e.why, e.notice = state, why, news.notice
         e.over = state in ("exited", "gone")
         js.running += e.running
         if state == "running" and e.ran_at is None:
--- a/ploverhall/protocol/state.py
+++ b/ploverhall/protocol/state.py
@@ -27,6 +27,7 @@
     rate: float
     level: float = 0.0
     at: float = field(default_factory=time.monotonic)
+    line: anyio.Lock = field(default_factory=anyio.Lock)
     taken: float = 0.0  # since counted
     counted: float = field(default_factory=time.monotonic)
     usual: float = 0.0
@@ -50,10 +51,18 @@
         self._fill()
         return self.level
 
-    async def take(self, n: float, urgent: bool = False) -> None:
-        """Take n, waiting for them unless urgent."""
-        while not urgent and (w := self.wait(n)) > 0:
-            await anyio.sleep(w + 0.001)
+    async def take(self, n: float, urgent: bool = False, reserve: float = 0.0) -> None:
+        """Take n unless urgent in turn: else small takers, for whom there is always enough, kept larger ones waiting for ever.
+
+        With a reserve it waits aside until so much more is left, and lets everybody else go first.
+        """
+        if reserve:
+            while (w := self.wait(n + reserve)) > 0 or self.line.statistics().tasks_waiting:
+                await anyio.sleep(w + 0.02)
+        elif not urgent:
+            async with self.line:
+                while (w := self.wait(n)) > 0:
+                    await anyio.sleep(w + 0.001)
         self._fill()
         self.level -= n
         self.taken += n
@@ -119,7 +128,7 @@
                 return found, first
 
     async def txn(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], lease: int | None = None,
-                  leased: frozenset[str] = frozenset(), urgent: bool = False) -> tuple[int, list[str]]:
+                  leased: frozenset[str] = frozenset(), urgent: bool = False, reserve: float = 0.0) -> tuple[int, list[str]]:
         """(new revision, []) when it landed, (0, failed keys) when a guard did not hold."""
         apply: list[dict[str, Any]] = []
         for key, value in puts.items():
@@ -129,7 +138,7 @@
             apply.append(op)
         apply += [{"delete": k} for k in deletes]
         body = {"guards": [{"path": k, "feather": v} for k, v in guards.items()], "apply": apply}
-        await self.writes.take(len(apply), urgent)
+        await self.writes.take(len(apply), urgent, reserve)
         status, out = await self._call("POST", "/multi", body, urgent=urgent)
         if status == 200:
             return out["moult"], []
--- a/ploverhall/transport/http.py
+++ b/ploverhall/transport/http.py
@@ -165,7 +165,8 @@
                         with anyio.CancelScope(shield=True):
                             await anyio.aclose_forcefully(stream)
                         # an idle connection may have been closed meanwhile; only reads are asked again
-                        if method == "GET" and not fresh and isinstance(e, _BROKEN):
+                        # (h11 says RemoteProtocolError when one ends before its first byte)
+                        if method == "GET" and not fresh and isinstance(e, (h11.RemoteProtocolError, *_BROKEN)):
                             continue
                         raise
                     self._give(stream, conn)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 from ploverhall.coordination.source import Source
 from ploverhall.protocol import peers
 from ploverhall.protocol.peers import NodeNews
+from ploverhall.protocol.state import Budget
 
 from .test_loopback import config
 
@@ -112,3 +113,29 @@
     node.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, own + 5.0))
     node.share(now)
     assert node.store.writes.rate == own
+
+
+def test_small_changes_do_not_keep_a_larger_one_waiting_and_guests_stand_aside() -> None:
+    """Every submission took the next change that there was; the writer of permits, who needs two at least, never had them."""
+
+    async def play() -> None:
+        budget = Budget(20.0)
+        budget.level = 0.0
+        order: list[str] = []
+
+        async def take(name: str, n: float, reserve: float = 0.0) -> None:
+            await budget.take(n, reserve=reserve)
+            order.append(name)
+
+        async with anyio.create_task_group() as tg:
+            for i in range(4):
+                tg.start_soon(take, "guest", 1, 10.0)
+                tg.start_soon(take, f"small {i}", 1)
+            await anyio.sleep(0.01)
+            tg.start_soon(take, "writer", 4)
+            for _ in range(6):
+                await anyio.sleep(0.03)
+                tg.start_soon(take, "later", 1)
+        assert order.index("writer") == 4 and order[-4:] == ["guest"] * 4
+
+    anyio.run(play)
