--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -16,6 +16,7 @@
 
 Vec = tuple[float, float, float]
 Place = tuple[str, str, bool]  # type, zone, spot
+Level = tuple[int, int]  # whole units free, and the free cores' power of two
 EPS = 1e-6
 NOTHING: Vec = (0.0, 0.0, 0.0)
 
@@ -155,14 +156,14 @@
         self.proven_gone: set[str] = set()
         self.info: dict[str, Info] = {}
         self.job_vec: Callable[[str], Vec | None] = lambda jid: None
-        self.index: dict[Place, dict[int, list[Machine]]] = {}
+        self.index: dict[Place, dict[Level, list[Machine]]] = {}
         self.warm: dict[tuple[Place, str], dict[str, Machine]] = {}  # machines in the index that hold an image and have a unit free
         self.holders: dict[str, dict[str, Machine]] = {}  # image -> all machines that hold it
         self.touched: dict[str, Machine] = {}
         self.gained: dict[str, Machine] = {}  # machines with more room than at the last look
         self.remembered: dict[str, dict[str, float]] = {}  # images that an earlier owner knew of, on machines not yet seen
         self.images_changed = False
-        self.looks = 0  # machines looked at: what the tests of growth count
+        self.looks = self.tries = 0  # machines looked at, and asked for room: what the tests of growth count
 
     # -- room --------------------------------------------------------------------------------
 
@@ -209,6 +210,10 @@
         """Whole units in an amount: accelerators where the type has them, else cores."""
         return max(0, int(vec[1] + EPS if kind.gpus > 0 else vec[0] + EPS))
 
+    def cores(self, vec: Vec) -> int:
+        """The power of two of an amount of cores, in quarters: work without accelerators walked over machines with no core free."""
+        return int(max(0.0, vec[0]) * 4 + EPS).bit_length()
+
     def look(self, m: Machine, now: float) -> None:
         """Bring the index up to date with one machine."""
         self.looks += 1
@@ -220,7 +225,7 @@
             self._unindex(m)
             return
         units = self.units(m.free, kind)
-        bucket = self.index.setdefault(m.place, {}).setdefault(units, [])
+        bucket = self.index.setdefault(m.place, {}).setdefault((units, self.cores(m.free)), [])
         if m.bucket is not bucket:
             self._unindex(m)
             m.bucket, m.spot_in_bucket = bucket, len(bucket)
@@ -320,10 +325,11 @@
         n = 0
         for place in places:
             kind = self.types[place[0]]
-            need = self.units(vec, kind)
-            for units, bucket in self.index[place].items():
-                if units >= need:
-                    n += len(bucket) * (units // need if need else 1000)
+            need, cores = self.units(vec, kind), self.cores(vec)
+            for (units, level), bucket in self.index[place].items():
+                if units >= need and level >= cores:
+                    each = units // need if need else 1000
+                    n += len(bucket) * (min(each, int(2.0**level / 4 / vec[0] + EPS)) if vec[0] > 0 else each)
         return n
 
     def find(self, job: Job, places: list[Place], avoid: frozenset[str], sample: int, rng: Random) -> list[Machine]:
@@ -338,6 +344,7 @@
             found = 0
             for i in range(len(pool)):
                 m = pool[(start + i) % len(pool)]
+                self.tries += 1
                 if m.name not in seen and fits(vec, m.free) and m.name not in avoid:
                     seen.add(m.name)
                     out.append(m)
@@ -349,12 +356,12 @@
             if (warm := self.warm.get((place, job.image))) is not None:
                 take(list(warm.values()), sample)
         for place in places:
-            need = self.units(vec, self.types[place[0]])
+            need, cores = self.units(vec, self.types[place[0]]), self.cores(vec)
             levels = self.index[place]
             before = len(out)
-            for units in sorted(levels):
-                if units >= need and levels[units]:
-                    take(levels[units], sample)
+            for level in sorted(levels):
+                if level[0] >= need and level[1] >= cores and levels[level]:
+                    take(levels[level], sample)
                     if len(out) - before >= 2 * sample:
                         break
         return out
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -112,3 +112,20 @@
         assert held(p)["j-900000"] == 1
         looks.append(p.fleet.looks - before)
     assert looks[1] <= 2 * looks[0]
+
+
+def test_work_without_accelerators_does_not_walk_over_machines_without_a_core() -> None:
+    """A guest's tiny tasks, on a fleet whose cores are all in use though some accelerators are free."""
+    tries = []
+    for size in (40, 400):
+        p = fleet(size)
+        for i, m in enumerate(p.fleet.machines.values()):
+            key = ("j-000009", i, 1)
+            m.permits[key] = Permit(key, 0, m.name, 1, 1, (16.0 if i else 12.0, 2.0, 8.0), "k", 1.0, run_token=1)
+        job = a_job("j-000001", n=30, cpus=0.25, gpus=0.0, mem=0.5, rank=3)
+        p.fleet.info[job.id] = Info(3, False, "guest", "array", 0.0, 0.0, True)
+        p.want(0, job, Candidate(30, [1.0], None, []), False)
+        step(p, 0.0)
+        assert held(p) == {"j-000001": 16}, "one machine has four cores left"
+        tries.append(p.fleet.tries)
+    assert tries[1] == tries[0] < 40
