--- a/ploverhall/coordination/ledger.py
+++ b/ploverhall/coordination/ledger.py
@@ -298,7 +298,8 @@
         self.moved: set[str] = set()  # teams whose use has changed
         self.reorder: set[str] = set(self.teams)
         self.retries: list[tuple[float, str]] = []
-        self.next_team = self.next_revisit = 0.0
+        self.reserved: dict[str, Vec] = {}  # of a team's limit, for replicas that wait
+        self.next_team = self.next_revisit = self.next_way = 0.0
         self.attempts = 0
         self.most_ops = txn_ops  # of the write being planned
         self.crowded = 0  # writes that could not take all that waited
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -11,7 +11,7 @@
 import heapq
 from typing import Any
 
-from ploverhall.coordination.fleet import EPS, add
+from ploverhall.coordination.fleet import EPS, NOTHING, add
 from ploverhall.coordination.ledger import (
     WORKED_S,
     Chunk,
@@ -33,6 +33,7 @@
 AVOID_S = 120.0  # how long a machine is avoided by a job that failed there
 TRY_S, TRY_MOST_S = 5.0, 90.0  # first and longest pause between two tries of a job that fails everywhere
 REST_S, REST_MOST_S = 1.0, 60.0  # the same for one task that fails while its job works
+WAY_EVERY_S = 0.5  # how often replicas that wait for their team's limit are held against its arrays
 REVISIT_S = 1.0  # how often every job with offers is decided anew, whatever has been seen to change
 
 
@@ -189,6 +190,8 @@
         """How many more tasks of this job the team's limit allows."""
         team, used = self.teams[js.team], self.used[js.team]
         n = 1 << 30
+        if js.job is not None and js.job.kind != "service":
+            used = add(used, self.reserved.get(js.team, NOTHING))
         if team.cpus_max > 0 and js.vec[0] > 0:
             n = min(n, int((team.cpus_max - used[0] + EPS) / js.vec[0]))
         if team.gpus_max > 0 and js.vec[1] > 0:
@@ -241,6 +244,50 @@
             return 0  # all or nothing, and not while an old attempt's task is somewhere
         return max(0, n)
 
+    def _make_way(self, now: float) -> None:
+        """Within a team's limit its replicas come before its arrays: these are stopped for them, the least lost work first.
+
+        A replica waited for 124 s because an array of its own team, which had come a moment earlier, held what was left
+        of the limit (ardgael-loans-ops, inc-4b3c). What is made free is kept for it.
+        """
+        for name, team in self.teams.items():
+            before = self.reserved.pop(name, NOTHING)
+            if team.cpus_max <= 0 and team.gpus_max <= 0:
+                continue
+            need = NOTHING
+            for js in self.waits[name].values():
+                if js.job is not None and js.job.kind == "service" and not js.broken and not js.blocked and js.not_before <= now:
+                    need = add(need, js.vec, js.waiting())
+            if need == NOTHING:
+                if before != NOTHING:
+                    self.moved.add(name)
+                continue
+            used, limit = add(self.used[name], need), (team.cpus_max or 1e18, team.gpus_max or 1e18, 1e18)
+            if all(u <= most + EPS for u, most in zip(used, limit, strict=True)):
+                continue
+            self.reserved[name] = need
+            going = NOTHING
+            arrays = [js for js in self.jobs.values() if js.team == name and js.entries and js.job is not None and js.job.kind == "array"]
+            ways: list[tuple[float, int, Entry, JobState]] = []
+            for js in arrays:
+                assert js.job is not None
+                for e in js.entries.values():
+                    self.visits += 1
+                    if e.over or not e.landed:
+                        continue
+                    if e.stop is not None:
+                        going = add(going, js.vec)
+                    elif js.job.rank > 0:
+                        ways.append((now - e.ran_at if e.ran_at is not None else 0.0, e.task, e, js))
+            for _, _, e, js in sorted(ways, key=lambda w: w[:2]):
+                short = add(used, going, -1)
+                if all(u <= most + EPS for u, most in zip(short, limit, strict=True)):
+                    break
+                assert js.job is not None
+                saves = js.job.checkpoint_s > 2.0 * js.job.save_s + 15.0
+                self._stop(e, js.job.save_s + 1.0 if saves else 0.0)
+                going = add(going, js.vec)
+
     def _revisit(self, now: float) -> None:
         """What time brings: jobs that may be tried again, and teams whose use has moved."""
         while self.retries and self.retries[0][0] <= now:
@@ -251,6 +298,9 @@
                 js.rested(now)
                 if js.broken and js.works(now):
                     self._blame(js, False, now)
+        if now >= self.next_way:
+            self.next_way = now + WAY_EVERY_S
+            self._make_way(now)
         if self.moved and now >= self.next_team:
             self.next_team = now + TEAM_EVERY_S
             for team in self.moved:
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -233,3 +233,30 @@
         s.landed(txn, 51 + writes, 2.0)
         writes += 1
     assert all(e.landed for js in s.jobs.values() for e in js.entries.values()) and writes < 60
+
+
+def test_a_replica_does_not_wait_for_an_array_that_holds_its_teams_limit() -> None:
+    """It waited for 124 s until the first of the array's tasks was done (ardgael-loans-ops, inc-4b3c)."""
+    s = source(limit=4.0)
+    s.on_job(a_job("j-000002", n=6, rank=3), "j-000002", 5, 0.0)
+    s.on_owner(0, 3, True, offers(4, first=10, job="j-000002"), 0.5)
+    s.decide(0.5)
+    txn = s.plan()
+    assert txn is not None
+    s.landed(txn, 50, 0.6)
+    s.on_job(a_job("j-000001", n=1, kind="service", rank=0), "j-000001", 6, 1.0)
+    s.take_news(2, 1.0)
+    s.decide(2.0)
+    s.decide(3.0)
+    array = s.jobs["j-000002"]
+    stopped = [e for e in array.entries.values() if e.stop is not None]
+    assert len(stopped) == 1, "one place is enough"
+    e = stopped[0]
+    s.on_owner(0, 3, False, {peers.start_key((e.job, e.task, e.attempt)): StartNews("exited", "halted", 0, 0)}, 3.1)
+    txn = s.plan()
+    assert txn is not None
+    s.landed(txn, 51, 3.2)
+    s.on_owner(0, 3, False, offers(1, first=20, job="j-000002") | offers(1, first=30), 3.3)
+    assert s.wanted(array, 3.3) == 0, "what was made free is kept for the replica"
+    s.decide(3.4)
+    assert len(s.jobs["j-000001"].entries) == 1
