--- a/ploverhall/control/telling.py
+++ b/ploverhall/control/telling.py
@@ -105,4 +105,5 @@
                 views[peer.name] = {"age_s": round(now - heard, 1), "view": status.choose(view, chosen)}
             else:
                 views[peer.name] = {"age_s": None, "view": None}
-        return {"asked": self.node.settings.name, "controllers": views}
+        told = self.node.requests.state_of(chosen["job"]) if "job" in chosen else None
+        return {"asked": self.node.settings.name, "controllers": views, "told": told}
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -220,6 +220,8 @@
         + (", rents" if v["renter"] else "") + "".join(f", {k} {n:g}" for k, n in sorted(v["short"].items()))
         for name, v in sorted(views.items())
     ]  # fmt: skip
+    if told := data.get("told"):
+        out.append(f"users are told: {told['id']} is {told['stance']}, {told['done']} tasks done, {told['running']} running")
     queue: dict[str, list[int]] = {}
     machines: dict[str, int] = {}
     for v in views.values():
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -151,6 +151,8 @@
                 await anyio.sleep(0.05)
         assert (await call("GET", "/api/jobs/j-000003"))[1]["stance"] == "withdrawn"
         status = (await call("GET", "/status"))[1]
+        one = "\n".join(text((await call("GET", "/status?job=j-000001"))[1], {"job": "j-000001"}))
+        assert "users are told: j-000001 is done, 5 tasks done" in one and "j-000003" not in one
         (view,) = (c["view"] for c in status["controllers"].values())
         assert view["teams"]["team"]["gpus"] == 0 and view["machines"]
         shown = "\n".join(text(status, {}))
