--- a/ploverhall/cli.py
+++ b/ploverhall/cli.py
@@ -17,7 +17,7 @@
         c = sub.add_parser(name, help=text)
         c.add_argument("--options", help="operators' own settings (JSON)")
         c.add_argument("--config", required=True, help="the platform's settings (TOML)")
-    c = sub.add_parser("status", help="the whole fleet, whichever controller is asked: what is wrong, what waits and why, what died and why")
+    c = sub.add_parser("status", help="the whole fleet, whoever is asked: what is wrong, what waits, what died, and why")
     c.add_argument("address", help="HOST:PORT of a running controller")
     c.add_argument("--job", help="only this job, with its tasks")
     c.add_argument("--team", help="only this team's jobs")
