--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -30,6 +30,7 @@
 
 IMAGES_EVERY_S = 4.0
 ARCHIVE_EVERY_S = 1.0
+KEPT, PATIENCE_S = 1.0, 0.5  # a write leaves a change for the next submission, unless it has waited for so long
 
 
 class Writing:
@@ -123,14 +124,14 @@
     async def _writer(self, held: Held, source: Source) -> None:
         """Write what the source has decided, one transaction at a time."""
         while not held.lost:
-            txn = source.plan(int(self.node.store.writes.free()))
+            txn = source.plan(int(self.node.store.writes.free() - KEPT))
             if txn is None:
                 held.wake = anyio.Event()
                 with anyio.move_on_after(0.5):
                     await held.wake.wait()
                 continue
             try:
-                revision, failed = await self.node.store.txn(txn.guards, txn.puts, txn.deletes)
+                revision, failed = await self.node.store.txn(txn.guards, txn.puts, txn.deletes, reserve=KEPT, patience=PATIENCE_S)
             except Refused:
                 await anyio.sleep(0.15 + 0.15 * self.node.rng.random())
                 continue
--- a/ploverhall/protocol/state.py
+++ b/ploverhall/protocol/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -51,15 +52,18 @@
         self._fill()
         return self.level
 
-    async def take(self, n: float, urgent: bool = False, reserve: float = 0.0) -> None:
+    async def take(self, n: float, urgent: bool = False, reserve: float = 0.0, patience: float = math.inf) -> None:
         """Take n unless urgent in turn: else small takers, for whom there is always enough, kept larger ones waiting for ever.
 
-        With a reserve it waits aside until so much more is left, and lets everybody else go first.
+        With a reserve it waits aside until so much more is left, and lets everybody else go first, as long as its patience lasts.
         """
-        if reserve:
-            while (w := self.wait(n + reserve)) > 0 or self.line.statistics().tasks_waiting:
-                await anyio.sleep(w + 0.02)
-        elif not urgent:
+        until = time.monotonic() + patience
+        while reserve and ((w := self.wait(n + reserve)) > 0 or self.line.statistics().tasks_waiting):
+            if (left := until - time.monotonic()) <= 0:
+                reserve = 0.0
+                break
+            await anyio.sleep(min(w + 0.02, left))
+        if not reserve and not urgent:
             async with self.line:
                 while (w := self.wait(n)) > 0:
                     await anyio.sleep(w + 0.001)
@@ -128,7 +132,8 @@
                 return found, first
 
     async def txn(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], lease: int | None = None,
-                  leased: frozenset[str] = frozenset(), urgent: bool = False, reserve: float = 0.0) -> tuple[int, list[str]]:
+                  leased: frozenset[str] = frozenset(), urgent: bool = False, reserve: float = 0.0,
+                  patience: float = math.inf) -> tuple[int, list[str]]:
         """(new revision, []) when it landed, (0, failed keys) when a guard did not hold."""
         apply: list[dict[str, Any]] = []
         for key, value in puts.items():
@@ -138,7 +143,7 @@
             apply.append(op)
         apply += [{"delete": k} for k in deletes]
         body = {"guards": [{"path": k, "feather": v} for k, v in guards.items()], "apply": apply}
-        await self.writes.take(len(apply), urgent, reserve)
+        await self.writes.take(len(apply), urgent, reserve, patience)
         status, out = await self._call("POST", "/multi", body, urgent=urgent)
         if status == 200:
             return out["moult"], []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -123,8 +123,8 @@
         budget.level = 0.0
         order: list[str] = []
 
-        async def take(name: str, n: float, reserve: float = 0.0) -> None:
-            await budget.take(n, reserve=reserve)
+        async def take(name: str, n: float, reserve: float = 0.0, patience: float = 60.0) -> None:
+            await budget.take(n, reserve=reserve, patience=patience)
             order.append(name)
 
         async with anyio.create_task_group() as tg:
@@ -132,7 +132,7 @@
                 tg.start_soon(take, "guest", 1, 10.0)
                 tg.start_soon(take, f"small {i}", 1)
             await anyio.sleep(0.01)
-            tg.start_soon(take, "writer", 4)
+            tg.start_soon(take, "writer", 4, 1.0, 0.0)
             for _ in range(6):
                 await anyio.sleep(0.03)
                 tg.start_soon(take, "later", 1)
