--- a/ploverhall/coordination/ledger.py
+++ b/ploverhall/coordination/ledger.py
@@ -26,7 +26,7 @@
 FILL = 0.92  # of a value's limit that a chunk may take; the rest is room for what json may add
 TXN_BYTES = 56_000  # of the 64 KiB a transaction may take
 REMEMBERED = 200  # starts that died and jobs that ended, for people who ask
-WORKED_S = 10.0  # a task that has run for so long works: what fails by its own mistake fails as soon as it has its image
+WORKED_S = 5.0  # a task that has run for so long works: what fails by its own mistake fails as soon as it has its image
 
 
 @dataclass(slots=True, eq=False)
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -374,7 +374,7 @@
         Where nothing comes any more it is the cloud that is late, and what is given back now might have come in the next
         moment; what replaces it would come no sooner.
         """
-        return 3.5 * self._boot(m.kind[:2], now) + 20.0 if self._overtaken(m) else 10.0 * nominal + 60.0
+        return 3.5 * self._boot(m.kind[:2], now) + 20.0 if self._overtaken(m) else 6.0 * nominal + 60.0
 
     def _booting(self, m: Rented) -> bool:
         return m.view is None and not m.returning and m.listed != "failed" and m.view_at == 0.0
