--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -170,14 +170,12 @@
             return Reply(400, {"error": "description too long to be kept"})
         writes, team = self.node.store.writes, self.node.teams[job.team]
         guest = team.cpus <= 0 and team.gpus <= 0
-        # a guest's swarm takes what the writer of permits and teams with a guarantee leave
-        reserve = writes.burst / 2.0 if guest else 0.0
-        wait = writes.wait(1 + reserve) + self.storing / writes.rate
+        wait = writes.wait(1) + self.storing / writes.rate
         if wait > (GUEST_WAIT_S if guest else WAIT_S):
             return Reply(429, {"error": "busy"}, wait + 1)
         self.storing += 1
         try:
-            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [], reserve=reserve)
+            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [])
         except (Refused, Unknown):
             return Reply(503, {"error": "not stored"}, 1.0)
         finally:
