--- /dev/null
+++ b/scripts/cost.py
@@ -0,0 +1,289 @@
+"""What one report and one permit cost a controller, at several sizes of fleet; an earlier version beside this one.
+
+    python -m scripts.cost --base REVISION [--sizes 500,5000]
+
+Each figure is processor time in microseconds, the least of several rounds; both versions are measured in turn in one run,
+each in processes of its own. The earlier version is taken out of git; what it needs must be installed (h11 is among the
+development requirements for that). Parts:
+
+- request: a worker's POST and its answer through the HTTP server, over loopback, 200 connections in turn
+- report: the checks, what the owner makes of a report that says nothing new, and the encoded answer; no HTTP
+- permit: a task from waiting to its exit, source and owner together, no I/O; the fleet is two thirds full of work that a
+  part of the waiting tasks may stop
+- crowd: the same on a full fleet, behind jobs that wait and find no way
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+ROUNDS = 3
+
+
+def request_cost(_: int) -> float:
+    """One POST and its answer, microseconds of the server's processor time."""
+    from importlib.util import find_spec
+
+    import anyio
+
+    from ploverhall.transport import http
+
+    uv = find_spec("ploverhall.transport.wire") is not None  # the version that runs on uvloop
+    body = json.dumps(body_of("n-1", 1, 1, 4)).encode()
+    data = b"POST /v1/report HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+    n, out = 4000, 0.0
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port = s.getsockname()[1]
+
+    async def handler(q: Any) -> Any:
+        return http.Reply(200, {"crest": 41, "calls": []})
+
+    async def play() -> None:
+        nonlocal out
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http.Server(handler, cap=1000).run, "127.0.0.1", port)
+            await anyio.sleep(0.2)
+            begun = time.process_time()
+            if (pid := os.fork()) == 0:
+                ends = [socket.create_connection(("127.0.0.1", port)) for _ in range(200)]
+                for i in range(n):
+                    ends[i % 200].sendall(data)
+                    ends[i % 200].recv(65536)
+                os._exit(0)
+            while os.waitpid(pid, os.WNOHANG) == (0, 0):
+                await anyio.sleep(0.02)
+            out = (time.process_time() - begun) / n * 1e6
+            tg.cancel_scope.cancel()
+
+    anyio.run(play, backend_options={"use_uvloop": uv})
+    return out
+
+
+def body_of(machine: str, seq: int, token: int, tasks: int, base: int = 0) -> dict[str, Any]:
+    """A report as a worker writes it."""
+    return {
+        "perch": machine, "endpoint": "10.1.0.1:9000", "breed": "t", "marsh": "a", "driftwood": False, "tide": 1, "peep": seq,
+        "crest": token, "warningS": None,
+        "chicks": [{"chick": f"j-{base + i:06d}/{i}", "hatch": 1, "stance": "running"} for i in range(tasks)],
+    }  # fmt: skip
+
+
+def an_owner(size: int) -> Any:
+    """An owner with that many idle machines which have reported to it."""
+    from ploverhall.coordination.owner import TOKEN_BITS, Owner
+    from ploverhall.protocol import workers
+    from ploverhall.protocol.cloud import MachineType
+
+    o = Owner(0, 3, 1, 10.0, 1.0, 5.0, 5, Random(1), 0.0)
+    o.types = {"t": MachineType("t", 16.0, 4.0, 128.0, 60.0, 1.0, 10.0, 3.0, 20.0, ("a",))}
+    for i in range(size):
+        o.on_report(workers.parse(body_of(f"n-{i}", 1, 3 << TOKEN_BITS, 0)), 0.0)
+    o.place(0.0)
+    return o
+
+
+def report_cost(size: int) -> float:
+    """One report that says nothing new."""
+    import orjson
+
+    from ploverhall.coordination.fleet import Permit
+    from ploverhall.coordination.owner import TOKEN_BITS
+    from ploverhall.protocol import workers
+
+    o = an_owner(size)
+    for i, m in enumerate(o.machines.values()):
+        for t in range(4):
+            key = (f"j-{i * 4 + t:06d}", t, 1)
+            p = o.permits[key] = m.permits[key] = Permit(key, 0, m.name, 3, 1, (4.0, 1.0, 8.0), "i", 1.0, run_token=m.token, run_session=1)
+            o.by_job.setdefault(key[0], {})[key] = p
+    asked, token = min(size, 1000), 3 << TOKEN_BITS
+    decode = getattr(workers, "decode", None)
+    spent = 0.0
+    for seq in range(2, 7):
+        bodies = [json.dumps(body_of(f"n-{i}", seq, token, 4, i * 4)).encode() for i in range(asked)]
+        begun = time.process_time()
+        for b in bodies:
+            m = o.on_report(decode(b) if decode else workers.parse(orjson.loads(b)), float(seq))
+            orjson.dumps(workers.answer(m.token, o.commands(m, float(seq))))
+        if seq > 2:  # the first one brings the tasks
+            spent += time.process_time() - begun
+        o.place(float(seq))
+    return spent / 4 / asked * 1e6
+
+
+class Plant:
+    """Workers that do at once what they are told, for one source and one owner; no I/O, no time but what is passed in."""
+
+    def __init__(self, size: int) -> None:
+        from ploverhall.coordination.source import Source
+        from ploverhall.settings import Team
+
+        self.size, self.now, self.spent, self.permits, self.jobs = size, 0.0, 0.0, 0, 0
+        self.o = an_owner(size)
+        teams = [Team(f"t{i}", 0.0, 0.0, float(size), 4.0 * size) for i in range(8)]
+        self.s = Source(0, 3, teams, ("a",), 4096, 48)
+        self.tasks: dict[str, dict[Any, list[Any]]] = {m: {} for m in self.o.machines}  # machine -> task -> state, cause, until
+        self.seq = dict.fromkeys(self.o.machines, 1)
+        self.length: dict[str, float] = {}
+
+    def submit(self, kind: str, rank: int, n: int, gpus: float, length: float) -> None:
+        """A job comes."""
+        from ploverhall.protocol.jobs import Job
+
+        self.jobs += 1
+        jid = f"j-{self.jobs:06d}"
+        job = Job(jid, kind, f"t{self.jobs % 8}", kind, rank, n, 4.0 * gpus, gpus, 8.0 * gpus, f"i{self.jobs % 5}", 4.0, None, None, False,
+                  False, False, 9.0, 0.0, 0.0, None, self.now)  # fmt: skip
+        self.length[jid] = length
+        self.s.on_job(job, jid, self.jobs, self.now)
+
+    def report(self, name: str, direct: bool = False) -> Any:
+        """What a worker lists now."""
+        from ploverhall.protocol import workers
+
+        self.seq[name] += 1
+        chicks = [{"chick": f"{k[0]}/{k[1]}", "hatch": k[2], "stance": t[0], "cause": t[1]} for k, t in self.tasks[name].items()]
+        r = workers.parse({**body_of(name, self.seq[name], self.o.machines[name].token, 0), "chicks": chicks})
+        return r
+
+    def execute(self, name: str, calls: list[Any]) -> None:
+        """Commands."""
+        from ploverhall.protocol import workers
+
+        here = self.tasks[name]
+        for c in calls:
+            key = (*workers.split_task(c["chick"]), c["hatch"])
+            if c["call"] == "run":
+                here.setdefault(key, ["running", "", self.now + self.length[key[0]]])
+            elif c["call"] == "reap":
+                here.pop(key, None)
+            elif key in here:
+                here[key][:2] = ["ended", "halted"]
+
+    def step(self) -> None:
+        """A tenth of a second: work ends, reports come, source and owner decide three times."""
+        self.now += 0.1
+        for m in self.o.machines.values():
+            m.last_report = self.now
+        for name, here in self.tasks.items():
+            ended = [t for t in here.values() if t[0] == "running" and t[2] <= self.now]
+            for t in ended:
+                t[:2] = ["ended", "done"]
+            if ended or any(t[0] == "ended" for t in here.values()):
+                r = self.report(name)
+                begun = time.process_time()
+                self.o.on_report(r, self.now)
+                calls = self.o.commands(self.o.machines[name], self.now)
+                self.spent += time.process_time() - begun
+                self.execute(name, calls)
+        for _ in range(3):
+            begun = time.process_time()
+            self.s.decide(self.now)
+            while (txn := self.s.plan()) is not None:
+                self.permits += len(txn.adds)
+                self.s.landed(txn, 1000 + int(self.now * 10), self.now)
+            self.o.on_source(0, False, {k: v for (_, k), v in self.s.take_news(1, self.now).items()}, self.now)
+            self.o.tick(self.now)
+            self.o.place(self.now)
+            sent = self.o.direct_work(self.now)
+            self.spent += time.process_time() - begun
+            for m, body in sent:
+                self.execute(m.name, body["calls"])
+                r = self.report(m.name)
+                begun = time.process_time()
+                self.o.direct_done(m, r, self.now)
+                self.spent += time.process_time() - begun
+            begun = time.process_time()
+            self.s.on_owner(0, 3, False, {k: v for (_, k), v in self.o.take_news().items()}, self.now)
+            self.spent += time.process_time() - begun
+
+
+def permit_cost(size: int) -> float:
+    """One permit of a hundred and twenty a second: decided, written, started, ended; the fleet is two thirds full of longer work."""
+    p = Plant(size)
+    for _ in range(size // 25):
+        p.submit("array", 3, 66, 1.0, 1e6)
+    for _ in range(40):
+        p.step()
+    assert sum(map(len, p.tasks.values())) > size * 2.5, "the fleet is filled first"
+    p.spent, p.permits = 0.0, 0
+    for i in range(60):
+        p.submit("array", 2, 12, 1.0, 2.0)
+        if i % 10 == 0:
+            p.submit("array", 1, 2, 4.0, 3.0)  # whole machines, mostly by stopping others' work
+        p.step()
+    return p.spent / p.permits * 1e6
+
+
+def crowd_cost(size: int) -> float:
+    """The same on a full fleet, where ten jobs wait that nothing could make room for and others end at sixty a second."""
+    p = Plant(size)
+    for _ in range(size // 25):
+        p.submit("array", 0, 100, 1.0, 1e6)  # nobody may stop it
+    for _ in range(40):
+        p.step()
+    for i in range(10):
+        p.submit("gang" if i % 2 else "array", 1, 4, 4.0, 9.0)
+    p.spent, p.permits = 0.0, 0
+    names = list(p.tasks)
+    for i in range(60):
+        p.submit("array", 2, 6, 1.0, 2.0)
+        for k in range(6):
+            here = p.tasks[names[(i * 6 + k) % len(names)]]
+            for t in list(here.values())[:1]:
+                t[2] = min(t[2], p.now)
+        p.step()
+    return p.spent / max(1, p.permits) * 1e6
+
+
+PARTS = {"request": request_cost, "report": report_cost, "permit": permit_cost, "crowd": crowd_cost}
+
+
+def main() -> int:
+    """Measure and print a table; as a child, measure one part."""
+    p = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    p.add_argument("--base", help="an earlier revision, measured beside this tree")
+    p.add_argument("--sizes", default="500,5000")
+    p.add_argument("--part", choices=PARTS, action="append")
+    p.add_argument("--child", nargs=2, metavar=("PART", "SIZE"), help=argparse.SUPPRESS)
+    a = p.parse_args()
+    if a.child:
+        print(PARTS[a.child[0]](int(a.child[1])))
+        return 0
+    with tempfile.TemporaryDirectory() as folder:
+        trees = {"this": ROOT}
+        if a.base:
+            data = subprocess.run(["git", "archive", a.base, "ploverhall"], cwd=ROOT, check=True, capture_output=True).stdout
+            subprocess.run(["tar", "x", "-C", folder], input=data, check=True)
+            trees = {a.base[:12]: Path(folder), "this": ROOT}
+        print(f"{'part':<10}{'machines':>9}  " + "".join(f"{name:>14}" for name in trees) + "   us of processor time, least of", ROUNDS)
+        for part in a.part or PARTS:
+            for size in [0] if part == "request" else [int(x) for x in a.sizes.split(",")]:
+                got: dict[str, list[float]] = {name: [] for name in trees}
+                for _ in range(ROUNDS):
+                    for name, tree in trees.items():
+                        env = {**os.environ, "PYTHONPATH": str(tree)}
+                        args = [sys.executable, str(Path(__file__)), "--child", part, str(size)]
+                        r = subprocess.run(args, env=env, cwd=folder, capture_output=True, text=True, check=False)
+                        if r.returncode:
+                            print(r.stderr, file=sys.stderr)
+                            return 1
+                        got[name].append(float(r.stdout))
+                print(f"{part:<10}{size or '-':>9}  " + "".join(f"{min(v):>14.1f}" for v in got.values()), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
