A cut-off zone goes on: cancellations are told when all controllers know of them

A controller cut off with its workers had to stop answering them early enough for any cancellation it could not have heard of; all in the zone was killed 8 s before the cut was over.

Change: the telling waits instead. Members show what they can and how far they have read, in their key and by a message of its own; a user is told of a cancellation once every controller has read it or its key has been gone for long enough (coordination/told.py), 503 until then; a cut-off controller answers for cut_off_s (60). While a release that tells at once is about, the old time holds for everybody. The plain world gets zones that are cut off; with the guard taken out it sees ran_cancelled.

--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -25,6 +25,7 @@
         self.node = node
         self.waiters: list[tuple[anyio.Event, list[bool]]] = []
         self.prove_wake = anyio.Event()
+        self.read_at = 0.0  # when the newest read began that brought the copy up to date
 
     async def watch_loop(self) -> None:
         """Follow everything under the prefix."""
@@ -32,6 +33,7 @@
             try:
                 if not self.node.replica.ready or self.node.replica.rev == 0:
                     await self._load()
+                begun = time.monotonic()
                 answer = await self.node.store.watch(PREFIX, self.node.replica.rev, 5_000)
             except Refused:
                 await anyio.sleep(0.2)
@@ -42,6 +44,7 @@
             if answer is None:
                 self.node.replica.ready = False
                 continue
+            self.read_at = max(self.read_at, begun)
             if self.node.replica.apply(*answer):
                 self.node.replica_news()
             await anyio.sleep(self._pause(0.03))  # changes that come together are read together
@@ -52,6 +55,7 @@
         return least if requests.free() > requests.rate / 2 else max(least, 4.0 / requests.rate)
 
     async def _load(self) -> None:
+        begun = time.monotonic()
         found, rev = await self.node.store.read(PREFIX)
         self.node.replica.load(found, rev)
         answer = await self.node.store.watch(PREFIX, rev, 0)
@@ -59,6 +63,7 @@
             raise Refused("watch too old")
         self.node.replica.apply(*answer)
         self.node.replica.ready = True
+        self.read_at = max(self.read_at, begun)
         log.info("state read", rev=self.node.replica.rev, live=len(self.node.replica.live), ended=len(self.node.replica.ended))
         self.node.replica_news()
 
@@ -93,6 +98,7 @@
                         self.node.replica.ready = False
                     else:
                         ok = True
+                        self.read_at = max(self.read_at, begun)
                         if self.node.replica.apply(*answer):
                             self.node.replica_news()
                         self.node.proved(begun)
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -14,6 +14,7 @@
     SHARD,
 )  # fmt: skip
 from ploverhall.coordination.stranded import Stranded
+from ploverhall.coordination.told import CAN, Told
 from ploverhall.protocol.state import Refused, Unknown
 
 if TYPE_CHECKING:
@@ -33,19 +34,54 @@
         self.stranded = Stranded()
         self.taken_at: dict[int, float] = {}  # shards taken from a live holder
         self.lease: int | None = None
+        self.granted = 0.0  # when this node's key was known to be in the store
+        self.renewed = 0.0  # when the newest request began that showed it to be alive
+        self.shown = 0  # the revision that this node's key says it has read up to
+        s = node.settings
+        self.told = Told([p.name for p in s.peers], s.cancel_s, s.lease_s, s.options.cut_off_s, time.monotonic())
+
+    def notice(self, now: float) -> None:
+        """Which members' keys are there, and what they say."""
+        for name in self.told.members:
+            value, _ = self.node.replica.keys.get(NODE + name, (None, 0))
+            if not isinstance(value, dict):
+                self.told.gone(name, now)
+                continue
+            can, seen = value.get("can"), value.get("seen")
+            self.told.present(name, isinstance(can, list) and CAN in can, seen if isinstance(seen, int) else 0, now)
+
+    def may_tell(self, version: int) -> bool:
+        """Whether a user may be told of a cancellation written at this revision (see coordination.told)."""
+        return self.node.replica.rev >= version and self.told.may_tell(version, time.monotonic())
+
+    def isolated(self, now: float) -> bool:
+        """Whether others may have told a user of a cancellation that this node can't hear of.
+
+        Then it stops answering workers early enough for their leases to run out within the time a cancellation has. In an
+        outage that every controller confirms, nobody can cancel: go on.
+        """
+        read = self.node.following.read_at
+        # the long time only once it has read what came before the key that promises to wait with telling
+        fence = self.told.fence if read > self.granted else self.told.early
+        if now - min(read, self.renewed) < fence:
+            return False
+        heard = sum(1 for at, _ in self.node.peer_news.values() if now - at < 3.0)
+        return heard < len(self.node.settings.peers)
+
+    def key_value(self) -> dict[str, object]:
+        """What this node's key says: its zone, what it can, and how far it has read."""
+        return {"zone": self.node.settings.zone, "can": [CAN], "seen": self.node.replica.rev}
 
     async def lease_loop(self) -> None:
         """Keep a lease and the key that shows this node is up."""
         ttl = self.node.settings.options.shard_lease_s
         while True:
             try:
+                begun = time.monotonic()
                 if self.lease is None:
                     lease = await self.node.store.grant(ttl)
-                    key = NODE + self.node.settings.name
-                    value = {"zone": self.node.settings.zone}
-                    _, failed = await self.node.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
-                    if not failed:
-                        self.lease = lease
+                    if await self._show(lease):
+                        self.lease, self.granted, self.renewed = lease, time.monotonic(), begun
                         log.info("lease", lease=lease)
                         self.shard_wake.set()
                 elif not await self.node.store.renew(self.lease):
@@ -55,10 +91,22 @@
                         self.node.lose(shard, "lease")
                     self.node.renter = None
                     continue
+                else:
+                    self.renewed = begun
+                    if self.node.ended_rev > self.shown and not all(link.up for link in self.node.links):
+                        await self._show(self.lease)  # who can't be told directly reads it there
                 await anyio.sleep(ttl / 4)
             except (Refused, Unknown):
                 await anyio.sleep(0.25)
 
+    async def _show(self, lease: int) -> bool:
+        """Write this node's key."""
+        key, value, seen = NODE + self.node.settings.name, self.key_value(), self.node.replica.rev
+        _, failed = await self.node.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
+        if not failed:
+            self.shown = seen
+        return not failed
+
     async def shard_loop(self) -> None:
         """Hold the shards that this node should hold."""
         while True:
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -31,6 +31,7 @@
 from ploverhall.log import where
 from ploverhall.protocol import workers
 from ploverhall.protocol.cloud import MachineType
+from ploverhall.protocol.jobs import WITHDRAWN
 from ploverhall.protocol.peers import NodeNews
 from ploverhall.protocol.state import Store
 from ploverhall.settings import Settings
@@ -86,6 +87,9 @@
         self.direct_clients: dict[str, Client] = {}
         self.peer_news: dict[str, tuple[float, NodeNews]] = {}  # node -> when heard, and what it said
         self.gossip_at: dict[str, float] = {}
+        self.ended_rev = 0  # the newest revision at which a job was cancelled, as far as is known here
+        self.seen_sent: dict[str, int] = {}  # per peer: the revision it was told this node has read up to
+        self.numbers = 0
         self.views_at = 0.0
         self.tasks: anyio.abc.TaskGroup
         self.lag = 0.0  # longest that a step of the engine has come late, since it was last told
@@ -205,6 +209,12 @@
                     h.owner.types = types
         changed, r.changed_jobs = r.changed_jobs, []
         now = time.monotonic()
+        self.membership.notice(now)
+        cancelled = max((e.version for j in changed if (e := r.ended.get(j)) is not None and e.how == WITHDRAWN), default=0)
+        if cancelled > self.ended_rev:
+            self.ended_rev = cancelled  # the users' answers wait for everybody's word that it has been read
+            for link in self.links:
+                link.poke()
         for jid in changed:
             known = r.live.get(jid)
             if known is not None:
@@ -257,6 +267,12 @@
                 self.quiet_for(now), self.store.writes.used(),
             )  # fmt: skip
             out.append(["n", self.me, 0, 0, True, news, 0])
+            self.seen_sent.pop(node, None)
+        if self.replica.ready and self.seen_sent.get(node, -1) < max(0, min(self.ended_rev, self.replica.rev)):
+            # a message of its own, in the form of a board: a release that does not know it takes it for one of nobody's
+            self.seen_sent[node] = self.replica.rev
+            self.numbers += 1
+            out.append(["k", self.me, 0, 0, True, {"seen": self.replica.rev}, self.numbers])
         return out + self.telling.collect(node, now)
 
     def deliver(self, node: str, batch: list[Message]) -> None:
@@ -271,6 +287,9 @@
                     if held is not None and epoch > held.epoch:
                         self.lose(shard, f"{node} holds it")  # the state service may not be reached from here
                 self.route()
+            elif message[0] == "k":
+                if isinstance(seen := message[5].get("seen"), int):
+                    self.membership.told.read(node, seen)
             elif message[0] in ("v", "q", "a"):
                 self.telling.deliver(node, message)
             elif self.inbox.take(message):
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import orjson
 
 from ploverhall import log
@@ -12,6 +13,7 @@
     ARCHIVE,
     ARCHIVED,
     JOB,
+    Ended,
     end_record,
     ended,
 )  # fmt: skip
@@ -27,6 +29,7 @@
 if TYPE_CHECKING:
     from ploverhall.control.node import Node
 
+SETTLE_S = 1.0  # how long a cancellation's answer waits for the other controllers' word before its user is sent away
 WAIT_S, GUEST_WAIT_S = 1.5, 0.5  # a submission that would wait for longer is refused at once, and told when to come back
 
 
@@ -69,18 +72,6 @@
         others = [news.age + now - heard for heard, news in self.node.peer_news.values() if now - heard < 3]
         return mine < 2.5 or not any(age < 1.5 for age in others)
 
-    def isolated(self, now: float) -> bool:
-        """Whether others may have taken over and answered cancellations without this node hearing of it.
-
-        Then it must stop answering workers early enough for their leases to run out within the time
-        a cancellation has. In an outage that every controller confirms, nobody can cancel: go on.
-        """
-        s = self.node.settings
-        if now - self.node.store.last_ok < max(1.0, s.cancel_s - s.lease_s - 8.0):
-            return False
-        heard = sum(1 for at, _ in self.node.peer_news.values() if now - at < 3.0)
-        return heard < len(s.peers)
-
     def report(self, q: Request) -> Reply:
         """A worker's report."""
         try:
@@ -99,7 +90,7 @@
                     return Reply(421, {})  # sent back there it would hang; somebody takes the shard in a moment
             return Reply(421, workers.homing(node if node != self.node.settings.name else None))
         now = time.monotonic()
-        if self.isolated(now):
+        if self.node.membership.isolated(now):
             return Reply(421, {})
         m = held.owner.on_report(r, now)
         if m is None:
@@ -159,7 +150,7 @@
         except (orjson.JSONDecodeError, jobs.Malformed) as e:
             return Reply(400, {"error": str(e)})
         if (end := self.node.replica.ended.get(job.id)) is not None:
-            return Reply(200, jobs.view(job.id, end.how, end.done))
+            return self.final(job.id, end)
         if not self.node.replica.ready or self.node.types is None:
             return Reply(503, {"error": "not ready"}, 1.0)
         if job.id in self.node.replica.live:
@@ -196,10 +187,29 @@
         known = await self.known(jid)
         return Reply(200, known) if isinstance(known, dict) else known or Reply(404, {"error": "no such job"})
 
+    def final(self, jid: str, end: Ended) -> Reply:
+        """How a job ended; a cancellation only once every controller that could still run its tasks knows of it."""
+        if end.how == jobs.WITHDRAWN and not self.node.membership.may_tell(end.version):
+            self.node.following.ask()
+            return Reply(503, {"error": "not known to all controllers yet"}, 1.0)
+        return Reply(200, jobs.view(jid, end.how, end.done))
+
+    async def settled(self, jid: str, end: Ended) -> Reply:
+        """The same, waiting a moment for the other controllers' word."""
+        with anyio.move_on_after(SETTLE_S):
+            while not self.node.membership.may_tell(end.version):
+                self.node.following.ask()
+                await anyio.sleep(0.03)
+        return self.final(jid, end)
+
     async def known(self, jid: str) -> dict[str, Any] | Reply | None:
         """What is known of a job for certain; a refusal where it can't be known now, None where there is no such job."""
-        if jid not in self.node.replica.ended and not await self.node.following.current():
+        if (end := self.node.replica.ended.get(jid)) is not None:
+            return self.final(jid, end)
+        if not await self.node.following.current():
             return Reply(503, {"error": "state unknown"}, 1.0)
+        if (end := self.node.replica.ended.get(jid)) is not None:
+            return self.final(jid, end)
         state = self.state_of(jid)
         if state is not None or ARCHIVED not in self.node.replica.keys:
             return state
@@ -220,7 +230,7 @@
             return Reply(404, {"error": "no such job"})
         for _ in range(3):
             if (end := self.node.replica.ended.get(jid)) is not None:
-                return Reply(200, jobs.view(jid, end.how, end.done))
+                return await self.settled(jid, end)
             known = self.node.replica.live.get(jid)
             if known is not None:
                 record = end_record(jobs.WITHDRAWN, 0)
@@ -232,7 +242,7 @@
                     log.info("withdrawn", job=jid)
                     self.node.replica.put_own(JOB + jid, record, rev)
                     self.node.replica_news()
-                    return Reply(200, jobs.view(jid, jobs.WITHDRAWN))
+                    return await self.settled(jid, ended(record, rev))
             state = await self.known(jid)
             if state is None:
                 return Reply(404, {"error": "no such job"})
--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -46,6 +46,7 @@
     handback_s: float = 6.0
     direct: bool = True
     keep_ended: int = 20_000
+    cut_off_s: float = 60.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -50,11 +50,17 @@
 
     async def play() -> None:
         node = a_node()
-        node.store.last_ok = 100.0
-        assert not node.requests.isolated(105.0)
-        assert node.requests.isolated(100.0 + node.settings.cancel_s - node.settings.lease_s)
+        member, follow, st = node.membership, node.following, node.settings
+        follow.read_at = member.renewed = 100.0
+        assert not member.isolated(105.0)
+        early = 100.0 + st.cancel_s - st.lease_s
+        assert member.isolated(early), "the other one may tell at once: a release before this one, or not heard of yet"
+        member.told.present("c1", True, 0, 100.0)
+        assert not member.isolated(early) and member.isolated(100.0 + st.options.cut_off_s)
+        member.granted = 101.0
+        assert member.isolated(early), "it has not read yet what came before its promise"
         node.peer_news["c1"] = (119.5, NodeNews(60.0, {}, {}))
-        assert not node.requests.isolated(120.0), "an outage that every controller confirms: nobody can cancel"
+        assert not member.isolated(120.0), "an outage that every controller confirms: nobody can cancel"
 
     anyio.run(play)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -10,6 +10,7 @@
 
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.source import Source
+from ploverhall.coordination.told import Told
 
 from .world import Broken, World, job
 
@@ -30,7 +31,7 @@
         worker.hung_until = min(worker.hung_until, w.now + 1.0)
     w.cuts.clear()
     for node in w.nodes:
-        node.frozen_until = min(node.frozen_until, w.now)
+        node.frozen_until, node.dark_until = min(node.frozen_until, w.now), min(node.dark_until, w.now)
     for s in [s for s in w.specs.values() if s.kind == "service"]:
         w.later(60.0, w.withdraw, s.id)
     w.run(chaos_s + calm_s)
@@ -124,3 +125,35 @@
     else:
         with pytest.raises(Broken, match="ran_twice"):
             w.run(60.0)
+
+
+def cut_off(guarded: bool) -> World:
+    """One controller and its zone are cut off for longer than a cancellation has; a job that runs there is cancelled."""
+    w = World(5, machines=16, chaos=0.0, cut_off=100.0)
+    one = replace(job(Random(1), "j-000001", 0.0), team="team-0", kind="service", n=4, gpus=1.0, spread=True, one_zone=False, spot=False)
+    w.submit(one)
+    w.run(10.0)
+    w.chaos, w.kinds = 1e-9, ()
+    w.darken(w.nodes[1], 80.0)
+    w.run(15.0)
+    w.withdraw(one.id)
+    w.run(18.0)
+    assert guarded == (one.id not in w.cancelled), "who could still run it has not read of it"
+    w.run(60.0)
+    assert any(k[0] == one.id for x in w.workers.values() for k in x.on_machine()), "its zone goes on, for all that it can know"
+    return w
+
+
+def test_a_cut_off_controller_goes_on_and_a_cancellation_is_told_when_it_must_have_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
+    w = cut_off(True)
+    w.run(200.0)
+    assert w.cancelled and not any(x.on_machine() for x in w.workers.values())
+    monkeypatch.setattr(Told, "may_tell", lambda self, version, now: True)
+    with pytest.raises(Broken, match="ran_cancelled"):
+        cut_off(False).run(200.0)
+
+
+@pytest.mark.parametrize("seed", range(200, 206))
+def test_zones_that_are_cut_off_break_no_rule(seed: int) -> None:
+    w = play(seed, kinds=(0, 2, 7, 7))
+    assert not w.live() and not [k for k in w.store.kv if k.startswith("c/")]
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,7 @@
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.shards import Layout
 from ploverhall.coordination.source import Source
+from ploverhall.coordination.told import Told
 from ploverhall.protocol import workers
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job
@@ -51,6 +52,16 @@
                 self.log.append(Event(k, None, self.rev))
         return self.rev, []
 
+    def since(self, rev: int) -> list[Event]:
+        """What was changed after a revision, as the controllers watch it."""
+        out = []
+        for e in reversed(self.log):
+            if e.version <= rev:
+                break
+            if e.key.startswith(PREFIX):
+                out.append(e)
+        return out[::-1]
+
     def read(self, prefix: str) -> dict[str, tuple[Any, int]]:
         return {k: v for k, v in sorted(self.kv.items()) if k.startswith(prefix)}
 
@@ -156,7 +167,7 @@
         teams = [w.teams[t] for t in w.layout.teams(shard)]
         # the cells are read after the claim: from here on no earlier holder can write them
         self.source = Source(shard, epoch, teams, ("a", "b"), w.value_bytes, w.txn_ops)
-        node.replica.apply(w.store.rev, [e for e in w.store.log if e.key.startswith(PREFIX)])
+        node.replica.apply(w.store.rev, w.store.since(node.replica.rev))
         for jid, (job, version) in node.replica.live.items():
             if w.layout.team_shard[job.team] == shard:
                 self.source.on_job(job, jid, version, w.now)
@@ -177,9 +188,12 @@
 
     frozen_until = 0.0  # it stands still: nothing is read, done or sent, and its clock runs on
     blind_until = 0.0  # its watch of the store hangs
+    dark_until = 0.0  # nothing reaches it but its workers, and it reaches nothing else
 
     def boot(self) -> None:
         self.up_at = 0.0
+        self.told = Told([f"c{i}" for i in range(3) if i != self.index], CANCEL, LEASE, self.w.cut_off, self.w.now)
+        self.read_at = self.w.now
         self.stepped = self.w.now
         self.replica = Replica(ready=True)
         self.replica.load(self.w.store.read(PREFIX), self.w.store.rev)
@@ -193,6 +207,27 @@
     def up(self) -> bool:
         return self.w.now >= self.up_at
 
+    @property
+    def dark(self) -> bool:
+        return self.w.now < self.dark_until
+
+    @property
+    def isolated(self) -> bool:
+        return self.w.now - self.read_at >= self.told.fence and any(self.w.cut(self, n) or not n.up for n in self.w.nodes if n is not self)
+
+    def notice(self) -> None:
+        """Whose key is in the store (a lease outlives its controller by 4 s), and what they say directly."""
+        for n in self.w.nodes:
+            if n is not self:
+                out = max(n.up_at if not n.up else 0.0, n.frozen_until, n.dark_until)
+                if out > self.w.now and self.w.now - self.w.out_since.setdefault(n.name, self.w.now) > 4.0:
+                    self.told.gone(n.name, self.w.now)
+                elif out <= self.w.now:
+                    self.w.out_since.pop(n.name, None)
+                    self.told.present(n.name, True, 0, self.w.now)
+                    if not self.w.cut(self, n):
+                        n.told.read(self.name, self.replica.rev)
+
     def holder(self, role: int) -> str | None:
         return self.name if role in self.held else self.replica.holder(role)[0]
 
@@ -240,6 +275,8 @@
             for h in self.held.values():
                 h.owner.stood_still(now - self.stepped, now)
         self.stepped = now
+        if not self.dark:
+            self.notice()
         for _ in range(3):
             for h in list(self.held.values()):
                 self._step(h, now)
@@ -269,9 +306,12 @@
 
     def prove(self, lives: int, begun: float) -> None:
         """A read of the store has shown who holds what."""
+        if self.dark:
+            return
         if lives != self.lives or self.w.asleep(self, self.prove, lives, begun):
             return
-        self.replica.apply(self.w.store.rev, [e for e in self.w.store.log if e.key.startswith(PREFIX)])
+        self.replica.apply(self.w.store.rev, self.w.store.since(self.replica.rev))
+        self.read_at = self.w.now
         self.news()
         for h in self.held.values():
             h.owner.proved = max(h.owner.proved, begun)
@@ -305,7 +345,9 @@
     """Everything, and the judge of the rules."""
 
     def __init__(self, seed: int, machines: int = 9, value_bytes: int = 4096, txn_ops: int = 8, chaos: float = 1.0,
-                 kinds: tuple[int, ...] = tuple(range(7))) -> None:
+                 kinds: tuple[int, ...] = tuple(range(8)), cut_off: float = 60.0) -> None:
+        self.cut_off = cut_off
+        self.out_since: dict[str, float] = {}
         self.rng = Random(seed)
         self.chaos, self.kinds = chaos, kinds
         self.now = 0.0
@@ -353,6 +395,8 @@
         return False
 
     def cut(self, a: Any, b: Any) -> bool:
+        if isinstance(a, Node) and isinstance(b, Node) and (a.dark or b.dark):
+            return True
         return self.cuts.get((min(a.name, b.name), max(a.name, b.name)), 0.0) > self.now
 
     def trouble(self) -> None:
@@ -381,11 +425,23 @@
                     node.blind_until = self.now + 20.0
         elif kind == 5:
             self.rng.choice(self.nodes).blind_until = self.now + self.rng.choice([2.0, 8.0, 20.0])
+        elif kind == 7:
+            self.darken(self.rng.choice(self.nodes), self.rng.choice([8.0, 20.0, 45.0, 80.0]))
         else:
             node = self.rng.choice(self.nodes)
             for w in self.workers.values():
                 self.cuts[min(node.name, w.name), max(node.name, w.name)] = self.now + 6.0
 
+    def darken(self, node: Node, s: float) -> None:
+        """A zone is cut off, this controller in it: only its zone's workers reach it, and they reach nobody else."""
+        if any(n.dark for n in self.nodes):
+            return
+        node.dark_until = self.now + s
+        for w in self.workers.values():
+            for n in self.nodes:
+                if (n is node) != (w.zone == node.zone):
+                    self.cuts[min(n.name, w.name), max(n.name, w.name)] = self.now + s
+
     def crash(self, node: Node, down: float) -> None:
         node.lives += 1
         node.held.clear()
@@ -407,10 +463,12 @@
         self.gangs()
         for n in self.nodes:
             if n.up and self.now >= n.frozen_until:
-                if (self.rng.random() < 0.7 and self.now >= n.blind_until) or self.chaos <= 0:
-                    n.replica.apply(self.store.rev, [e for e in self.store.log[-400:] if e.key.startswith(PREFIX)])
+                if not n.dark and ((self.rng.random() < 0.7 and self.now >= n.blind_until) or self.chaos <= 0):
+                    n.replica.apply(self.store.rev, self.store.since(n.replica.rev))
+                    n.read_at = self.now
                 n.news()
-                self.shards(n)
+                if not n.dark:
+                    self.shards(n)
                 n.step()
         self.judge()
 
@@ -420,7 +478,7 @@
             holder = value["node"] if value else None
             if holder == n.name and (i not in n.held or n.held[i].epoch != version):
                 self.claim(n, i, version)
-            elif holder is None or not self.nodes[int(holder[1])].up or self.nodes[int(holder[1])].frozen_until > self.now:
+            elif holder is None or not (other := self.nodes[int(holder[1])]).up or other.frozen_until > self.now or other.dark:
                 since = self.orphan.setdefault(i, self.now)
                 if i == n.index or self.now - since > 3.0:
                     self.claim(n, i, version)
@@ -434,7 +492,7 @@
             n.take(shard, rev)
 
     def write(self, node: Node, h: Held, txn: Any) -> None:
-        fate = self.rng.random()
+        fate = self.rng.random() if not node.dark else 1.0  # what a cut holds back of it is not played: unknown, and not executed
         lives = node.lives
 
         def outcome(rev: int, failed: list[str], unknown: bool) -> None:
@@ -496,7 +554,7 @@
             w.home = (w.home + 1) % len(self.nodes)
             return
         r = workers.parse(body)
-        h = node.held.get(self.layout.part(r.zone, r.machine))
+        h = node.held.get(self.layout.part(r.zone, r.machine)) if not node.isolated else None
         m = h.owner.on_report(r, self.now) if h is not None else None
         if h is None or m is None:
             if not late:
@@ -572,10 +630,18 @@
         return [k for k, (v, _) in self.store.kv.items() if k.startswith(JOB) and isinstance(v, list)]
 
     def withdraw(self, jid: str) -> None:
+        """A user asks any controller that can be reached, again and again until it is told."""
         value, version = self.store.kv.get(JOB + jid, (None, 0))
         if isinstance(value, list):
-            self.store.txn({JOB + jid: version}, {JOB + jid: end_record("withdrawn", 0)}, [])
-            self.cancelled[jid] = self.now
+            version, _ = self.store.txn({JOB + jid: version}, {JOB + jid: end_record("withdrawn", 0)}, [])
+        elif value is None or value["s"] != "withdrawn":
+            return
+        asked = [n for n in self.nodes if n.up and not n.dark and self.now >= n.frozen_until]
+        node = self.rng.choice(asked) if asked else None
+        if node is not None and node.replica.rev >= version and node.told.may_tell(version, self.now):
+            self.cancelled.setdefault(jid, self.now)
+        else:
+            self.later(1.0, self.withdraw, jid)
 
     def check_done(self, jid: str) -> None:
         if any((jid, i) not in self.results for i in range(self.specs[jid].n)):
