--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -20,12 +21,17 @@
 
 
 def free_ports(n: int) -> list[int]:
-    found = [socket.socket() for _ in range(n)]
-    for s in found:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in found]
-    for s in found:
-        s.close()
+    """Ports below those that outgoing connections are given: such a one was taken again before the server was up."""
+    ports: list[int] = []
+    while len(ports) < n:
+        port = random.randrange(15_000, 30_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
