--- a/scripts/cost.py
+++ b/scripts/cost.py
@@ -43,7 +43,9 @@
     body = json.dumps(body_of("n-1", 1, 1, 4)).encode()
     data = b"POST /v1/report HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n" % len(body) + body
     n, out = 4000, 0.0
-    port = 14_000 + os.getpid() % 1000  # below those that outgoing connections are given
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port = s.getsockname()[1]
 
     async def handler(q: Any) -> Any:
         return http.Reply(200, {"crest": 41, "calls": []})
