Reread: one rule for what may be told, a machine that is gone stays gone

Cause: found on rereading the change. Withdrawing a job that is done waited up to 1 s for controllers that need not know (Requests.settled asked the rule of cancellations); that rule stood in three places and again in Told.waits_for, which nothing called. Fleet.stoppable kept machines nobody reads. wire.py named a command that does not exist.

Change: Membership.may_tell takes how a job ended and is the one rule, for answers and the archive; Told.may_tell is that nobody is waited for; late answers of unknown machines are dropped; stoppable is a counter; Following takes in both kinds of reads in one place; cancelled_rev by its name; small things in scripts.cost. Two tests, both failing before.

--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -12,7 +12,7 @@
 from ploverhall.bookkeeping.replica import (
     PREFIX,
 )  # fmt: skip
-from ploverhall.protocol.state import Refused, Unknown
+from ploverhall.protocol.state import Event, Refused, Unknown
 
 if TYPE_CHECKING:
     from ploverhall.control.node import Node
@@ -44,9 +44,7 @@
             if answer is None:
                 self.node.replica.ready = False
                 continue
-            self.read_at = max(self.read_at, begun)
-            if self.node.replica.apply(*answer):
-                self.node.replica_news()
+            self._took(begun, *answer)
             await anyio.sleep(self._pause(0.03))  # changes that come together are read together
 
     def _pause(self, least: float) -> float:
@@ -54,6 +52,12 @@
         requests = self.node.store.requests
         return least if requests.free() > requests.rate / 2 else max(least, 4.0 / requests.rate)
 
+    def _took(self, begun: float, rev: int, events: list[Event]) -> None:
+        """What a read begun then has brought: the copy is as new as that."""
+        self.read_at = max(self.read_at, begun)
+        if self.node.replica.apply(rev, events):
+            self.node.replica_news()
+
     async def _load(self) -> None:
         begun = time.monotonic()
         found, rev = await self.node.store.read(PREFIX)
@@ -98,9 +102,7 @@
                         self.node.replica.ready = False
                     else:
                         ok = True
-                        self.read_at = max(self.read_at, begun)
-                        if self.node.replica.apply(*answer):
-                            self.node.replica_news()
+                        self._took(begun, *answer)
                         self.node.proved(begun)
             except (Refused, Unknown):
                 pass
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -12,9 +12,11 @@
 from ploverhall.bookkeeping.replica import (
     NODE,
     SHARD,
+    Ended,
 )  # fmt: skip
 from ploverhall.coordination.stranded import Stranded
 from ploverhall.coordination.told import CAN, Told
+from ploverhall.protocol.jobs import DONE
 from ploverhall.protocol.state import Refused, Unknown
 
 if TYPE_CHECKING:
@@ -50,9 +52,11 @@
             can, seen = value.get("can"), value.get("seen")
             self.told.present(name, isinstance(can, list) and CAN in can, seen if isinstance(seen, int) else 0, now)
 
-    def may_tell(self, version: int) -> bool:
-        """Whether a user may be told of a cancellation written at this revision (see coordination.told)."""
-        return self.node.replica.rev >= version and self.told.may_tell(version, time.monotonic())
+    def may_tell(self, end: Ended) -> bool:
+        """Whether a user may be told how a job ended: of a cancellation, only once all know of it (see coordination.told)."""
+        if end.how == DONE:
+            return True
+        return self.node.replica.rev >= end.version and self.told.may_tell(end.version, time.monotonic())
 
     def isolated(self, now: float) -> bool:
         """Whether others may have told a user of a cancellation that this node can't hear of.
@@ -68,10 +72,6 @@
         heard = sum(1 for at, _ in self.node.peer_news.values() if now - at < 3.0)
         return heard < len(self.node.settings.peers)
 
-    def key_value(self) -> dict[str, object]:
-        """What this node's key says: its zone, what it can, and how far it has read."""
-        return {"zone": self.node.settings.zone, "can": [CAN], "seen": self.node.replica.rev}
-
     async def lease_loop(self) -> None:
         """Keep a lease and the key that shows this node is up."""
         ttl = self.node.settings.options.shard_lease_s
@@ -93,15 +93,19 @@
                     continue
                 else:
                     self.renewed = begun
-                    if self.node.ended_rev > self.shown and not all(link.up for link in self.node.links):
+                    if self.node.cancelled_rev > self.shown and not all(link.up for link in self.node.links):
                         await self._show(lease)  # who can't be told directly reads it there
                 await anyio.sleep(ttl / 4)
             except (Refused, Unknown):
                 await anyio.sleep(0.25)
 
     async def _show(self, lease: int) -> bool:
-        """Write this node's key, tethered to that lease: without one it would outlive the process, and be taken for it for ever."""
-        key, value, seen = NODE + self.node.settings.name, self.key_value(), self.node.replica.rev
+        """Write this node's key: its zone, what it can, and how far it has read.
+
+        Tethered to that lease: without one it would outlive the process, and be taken for it for ever.
+        """
+        key, seen = NODE + self.node.settings.name, self.node.replica.rev
+        value = {"zone": self.node.settings.zone, "can": [CAN], "seen": seen}
         _, failed = await self.node.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
         if not failed:
             self.shown = seen
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -87,7 +87,7 @@
         self.direct_clients: dict[str, Client] = {}
         self.peer_news: dict[str, tuple[float, NodeNews]] = {}  # node -> when heard, and what it said
         self.gossip_at: dict[str, float] = {}
-        self.ended_rev = 0  # the newest revision at which a job was cancelled, as far as is known here
+        self.cancelled_rev = 0  # the newest revision at which a job was cancelled, as far as is known here
         self.seen_sent: dict[str, int] = {}  # per peer: the revision it was told this node has read up to
         self.numbers = 0
         self.views_at = 0.0
@@ -211,8 +211,8 @@
         now = time.monotonic()
         self.membership.notice(now)
         cancelled = max((e.version for j in changed if (e := r.ended.get(j)) is not None and e.how == WITHDRAWN), default=0)
-        if cancelled > self.ended_rev:
-            self.ended_rev = cancelled  # the users' answers wait for everybody's word that it has been read
+        if cancelled > self.cancelled_rev:
+            self.cancelled_rev = cancelled  # the users' answers wait for everybody's word that it has been read
             for link in self.links:
                 link.poke()
         for jid in changed:
@@ -260,15 +260,15 @@
         """What goes to a peer now."""
         out = self.outbox.collect(node, generation, self.holders.get, self.routing)
         now = time.monotonic()
-        if now - self.gossip_at.get(node, 0.0) > 0.5:
+        gossip = now - self.gossip_at.get(node, 0.0) > 0.5
+        if gossip:
             self.gossip_at[node] = now
             news = NodeNews(
                 now - self.store.last_ok, {h.shard: h.epoch for h in self.held.values()},
                 self.quiet_for(now), self.store.writes.used(),
             )  # fmt: skip
             out.append(["n", self.me, 0, 0, True, news, 0])
-            self.seen_sent.pop(node, None)
-        if self.replica.ready and self.seen_sent.get(node, -1) < max(0, min(self.ended_rev, self.replica.rev)):
+        if self.replica.ready and (gossip or self.seen_sent.get(node, 0) < min(self.cancelled_rev, self.replica.rev)):
             # a message of its own, in the form of a board: a release that does not know it takes it for one of nobody's
             self.seen_sent[node] = self.replica.rev
             self.numbers += 1
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -189,7 +189,7 @@
 
     def final(self, jid: str, end: Ended) -> Reply:
         """How a job ended; a cancellation only once every controller that could still run its tasks knows of it."""
-        if end.how == jobs.WITHDRAWN and not self.node.membership.may_tell(end.version):
+        if not self.node.membership.may_tell(end):
             self.node.following.ask()
             return Reply(503, {"error": "not known to all controllers yet"}, 1.0)
         return Reply(200, jobs.view(jid, end.how, end.done))
@@ -197,16 +197,14 @@
     async def settled(self, jid: str, end: Ended) -> Reply:
         """The same, waiting a moment for the other controllers' word."""
         with anyio.move_on_after(SETTLE_S):
-            while not self.node.membership.may_tell(end.version):
+            while not self.node.membership.may_tell(end):
                 self.node.following.ask()
                 await anyio.sleep(0.03)
         return self.final(jid, end)
 
     async def known(self, jid: str) -> dict[str, Any] | Reply | None:
         """What is known of a job for certain; a refusal where it can't be known now, None where there is no such job."""
-        if (end := self.node.replica.ended.get(jid)) is not None:
-            return self.final(jid, end)
-        if not await self.node.following.current():
+        if jid not in self.node.replica.ended and not await self.node.following.current():
             return Reply(503, {"error": "state unknown"}, 1.0)
         if (end := self.node.replica.ended.get(jid)) is not None:
             return self.final(jid, end)
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -23,7 +23,6 @@
 )  # fmt: skip
 from ploverhall.coordination.ledger import Txn
 from ploverhall.coordination.source import Source
-from ploverhall.protocol.jobs import DONE
 from ploverhall.protocol.state import Refused, Unknown
 
 if TYPE_CHECKING:
@@ -111,9 +110,7 @@
             oldest = islice(replica.ended.items(), surplus)
             # what is archived may be told by whoever reads it there
             old = ((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.node.me)
-            mine = list(islice(
-                ((j, e) for j, e in old if e.how == DONE or self.node.membership.may_tell(e.version)), max(1, s.txn_ops // 2 - 1)
-            ))  # fmt: skip
+            mine = list(islice(((j, e) for j, e in old if self.node.membership.may_tell(e)), max(1, s.txn_ops // 2 - 1)))
             if not mine:
                 continue
             puts: dict[str, Any] = {ARCHIVE + j: end_record(e.how, e.done) for j, e in mine}
--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -170,8 +171,8 @@
         self.index: dict[Place, dict[Level, list[Machine]]] = {}
         self.warm: dict[tuple[Place, str], dict[str, Machine]] = {}  # machines in the index that hold an image and have a unit free
         self.holders: dict[str, dict[str, Machine]] = {}  # image -> all machines that hold it
-        self.stoppable: dict[Class, dict[str, Machine]] = {}  # usable machines with tasks of that class that could be stopped
-        self.stop_order: dict[str, Machine] = {}  # all of these, the one that gained something last at the end
+        self.stoppable: Counter[Class] = Counter()  # usable machines with tasks of that class that could be stopped; none is no key
+        self.stop_order: dict[str, Machine] = {}  # these machines, the one that gained something last at the end
         self.stop_count = 0  # rises with every such gain
         self.touched: dict[str, Machine] = {}
         self.gained: dict[str, Machine] = {}  # machines with more room than at the last look
@@ -271,12 +272,10 @@
             grew = grew or any(m.stops.get(k) != c for k, c in stops.items())
             classes = frozenset(stops.values())
             for c in m.stop_classes - classes:
-                there = self.stoppable[c]
-                del there[m.name]
-                if not there:
+                self.stoppable[c] -= 1
+                if not self.stoppable[c]:
                     del self.stoppable[c]
-            for c in classes - m.stop_classes:
-                self.stoppable.setdefault(c, {})[m.name] = m
+            self.stoppable.update(classes - m.stop_classes)
             m.stops, m.stop_classes = stops, classes
         if not stops:
             self.stop_order.pop(m.name, None)
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -339,7 +339,7 @@
             self._sweep(now)
 
     def _sweep(self, now: float) -> None:
-        """Silent machines and doubtful ones: a walk over all of them took a quarter of a permit's cost at 5,000 machines."""
+        """Silent machines and doubtful ones; all others cost nothing here, however many they are."""
         forgotten = []
         for m in self.heard.values():
             if now - m.last_report <= self.fleet.silent_s:
@@ -502,7 +502,7 @@
             m.token += 1
             m.direct_after = now + 5.0
             self.dirty = True
-        else:
+        elif self.machines.get(m.name) is m:  # a late answer brings no machine back that is gone: the sweep would never see it
             self.on_report(r, now, direct=True)
         if self.machines.get(m.name) is m:
             self._act(m)  # its room is empty for the renter only now
--- a/ploverhall/coordination/told.py
+++ b/ploverhall/coordination/told.py
@@ -66,7 +66,12 @@
 
         The long time only if every other controller waits with telling: during a rolling upgrade the old rule holds.
         """
-        return max(self.early, self.cut_off_s) if all(m.can for m in self.members.values()) else self.early
+        return self.longest if all(m.can for m in self.members.values()) else self.early
+
+    @property
+    def longest(self) -> float:
+        """What any controller's `fence` can be."""
+        return max(self.early, self.cut_off_s)
 
     @property
     def patience(self) -> float:
@@ -75,16 +80,16 @@
         Its last sure contact was before its key went. It answered for at most `fence` after that, a worker's lease ran on from
         there, and all of that must be over `cancel_s` after the telling.
         """
-        return max(0.0, (max(self.early, self.cut_off_s) + self.lease_s) * DRIFT + MARGIN_S - self.cancel_s)
+        return max(0.0, (self.longest + self.lease_s) * DRIFT + MARGIN_S - self.cancel_s)
 
     def may_tell(self, version: int, now: float) -> bool:
         """Whether a user may be told of a cancellation written at this revision."""
-        return all(
-            m.seen >= version or (m.absent is None and not m.can) or (m.absent is not None and now - m.absent >= self.patience)
-            for m in self.members.values()
-        )
+        return not self.waits_for(version, now)
 
     def waits_for(self, version: int, now: float) -> list[str]:
         """Whom the telling of a cancellation waits for, for people."""
-        return sorted(n for n, m in self.members.items() if m.seen < version and not (m.absent is None and not m.can)
-                      and not (m.absent is not None and now - m.absent >= self.patience))  # fmt: skip
+        return sorted(
+            n for n, m in self.members.items()
+            # who is there and tells at once itself stops by the old time: nothing has to wait for it
+            if m.seen < version and (m.can if m.absent is None else now - m.absent < self.patience)
+        )  # fmt: skip
--- a/ploverhall/transport/wire.py
+++ b/ploverhall/transport/wire.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 messages from bytes, without I/O: httptools (llhttp) reads them, the limits are kept here.
 
 The house's library for HTTP is h11. On the short requests of workers it cost more than all decisions together: one
-request and its answer took 660 us of processor time with h11 and a time limit for every read, 200 us with httptools, 72
-with httptools and uvloop below anyio (`python -m tests.bench_http`, docs/measurements.md), and a controller of 180
+request and its answer took six times the processor time with h11 and a time limit for every read than it takes with httptools
+and uvloop below anyio (`python -m scripts.cost --base a7ed42e --part request`, docs/measurements.md), and a controller of 180
 workers answers ninety a second. So its nearest kin that is written in C took its place.
 """
 
--- a/scripts/cost.py
+++ b/scripts/cost.py
@@ -130,7 +130,7 @@
         from ploverhall.coordination.source import Source
         from ploverhall.settings import Team
 
-        self.size, self.now, self.spent, self.permits, self.jobs = size, 0.0, 0.0, 0, 0
+        self.now, self.spent, self.permits, self.jobs = 0.0, 0.0, 0, 0
         self.o = an_owner(size)
         teams = [Team(f"t{i}", 0.0, 0.0, float(size), 4.0 * size) for i in range(8)]
         self.s = Source(0, 3, teams, ("a",), 4096, 48)
@@ -149,14 +149,13 @@
         self.length[jid] = length
         self.s.on_job(job, jid, self.jobs, self.now)
 
-    def report(self, name: str, direct: bool = False) -> Any:
+    def report(self, name: str) -> Any:
         """What a worker lists now."""
         from ploverhall.protocol import workers
 
         self.seq[name] += 1
         chicks = [{"chick": f"{k[0]}/{k[1]}", "hatch": k[2], "stance": t[0], "cause": t[1]} for k, t in self.tasks[name].items()]
-        r = workers.parse({**body_of(name, self.seq[name], self.o.machines[name].token, 0), "chicks": chicks})
-        return r
+        return workers.parse({**body_of(name, self.seq[name], self.o.machines[name].token, 0), "chicks": chicks})
 
     def execute(self, name: str, calls: list[Any]) -> None:
         """Commands."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ploverhall import settings
-from ploverhall.bookkeeping.replica import NODE, SHARD, cell_prefix
+from ploverhall.bookkeeping.replica import NODE, SHARD, Ended, cell_prefix
 from ploverhall.control.node import Held, Node
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.source import Source
@@ -153,7 +153,7 @@
     async def play() -> None:
         node = a_node()
         member, written = node.membership, []
-        member.lease, node.ended_rev = 7, 5
+        member.lease, node.cancelled_rev = 7, 5
 
         async def renew(lease: int) -> bool:
             member.lease = None
@@ -173,3 +173,17 @@
         assert written == [(7, True)]
 
     anyio.run(play)
+
+
+def test_that_a_job_is_done_waits_for_nobody() -> None:
+    """Only a cancellation does: withdrawing a job that was over took a second while a controller was away."""
+
+    async def play() -> None:
+        node = a_node()
+        node.replica.ended["j-000001"] = Ended("done", 3, 9)
+        node.replica.ended["j-000002"] = Ended("withdrawn", 0, 9)
+        with anyio.fail_after(0.5):
+            assert (await node.requests.withdraw("j-000001")).status == 200
+        assert (await node.requests.poll("j-000002")).status == 503, "nobody has read of it yet"
+
+    anyio.run(play)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -204,3 +204,13 @@
     assert len(m.tickets) == 4 and old not in m.tickets
     o.on_source(0, False, {**candidate(3), peers.permit_key(KEY): PermitNews("n-1", EPOCH, old, None)}, 5.2)
     assert state(o) == "permitted" and len(m.tickets) == 3
+
+
+def test_a_late_answer_brings_no_machine_back_that_is_gone() -> None:
+    """It came back silent from the start, last in the order of reports, where the sweep ends before it."""
+    o = owner()
+    m = o.on_report(report(1, EPOCH << TOKEN_BITS), 0.0)
+    assert m is not None
+    o.machine_gone(["n-1"])
+    o.direct_done(m, report(2, EPOCH << TOKEN_BITS), 1.0)
+    assert not o.machines and not o.heard
