--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -12,17 +11,17 @@
 from ploverhall.bookkeeping.replica import (
     PREFIX,
 )  # fmt: skip
+from ploverhall.control.shared import Shared
 from ploverhall.protocol.state import Event, Refused, Unknown
 
-if TYPE_CHECKING:
-    from ploverhall.control.node import Node
-
 
 class Following:
     """This node's copy of the store: kept by watch, and proven current for those who must know."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, shared: Shared, news: Callable[[], None], proved: Callable[[float], None]) -> None:
+        self.shared = shared
+        self.news = news  # the copy has changed
+        self.proved = proved  # a read begun then has shown who holds what
         self.waiters: list[tuple[anyio.Event, list[bool]]] = []
         self.prove_wake = anyio.Event()
         self.read_at = 0.0  # when the newest read began that brought the copy up to date
@@ -31,10 +30,10 @@
         """Follow everything under the prefix."""
         while True:
             try:
-                if not self.node.replica.ready or self.node.replica.rev == 0:
+                if not self.shared.replica.ready or self.shared.replica.rev == 0:
                     await self._load()
-                begun = time.monotonic()
-                answer = await self.node.store.watch(PREFIX, self.node.replica.rev, 5_000)
+                begun = self.shared.clock()
+                answer = await self.shared.store.watch(PREFIX, self.shared.replica.rev, 5_000)
             except Refused:
                 await anyio.sleep(0.2)
                 continue
@@ -42,34 +41,34 @@
                 await anyio.sleep(0.05)
                 continue
             if answer is None:
-                self.node.replica.ready = False
+                self.shared.replica.ready = False
                 continue
             self._took(begun, *answer)
             await anyio.sleep(self._pause(0.03))  # changes that come together are read together
 
     def _pause(self, least: float) -> float:
         """Between two reads: longer when requests run short, so that leases and permits never wait for those who ask."""
-        requests = self.node.store.requests
+        requests = self.shared.store.requests
         return least if requests.free() > requests.rate / 2 else max(least, 4.0 / requests.rate)
 
     def _took(self, begun: float, rev: int, events: list[Event]) -> None:
         """What a read begun then has brought: the copy is as new as that."""
         self.read_at = max(self.read_at, begun)
-        if self.node.replica.apply(rev, events):
-            self.node.replica_news()
+        if self.shared.replica.apply(rev, events):
+            self.news()
 
     async def _load(self) -> None:
-        begun = time.monotonic()
-        found, rev = await self.node.store.read(PREFIX)
-        self.node.replica.load(found, rev)
-        answer = await self.node.store.watch(PREFIX, rev, 0)
+        begun = self.shared.clock()
+        found, rev = await self.shared.store.read(PREFIX)
+        self.shared.replica.load(found, rev)
+        answer = await self.shared.store.watch(PREFIX, rev, 0)
         if answer is None:
             raise Refused("watch too old")
-        self.node.replica.apply(*answer)
-        self.node.replica.ready = True
+        self.shared.replica.apply(*answer)
+        self.shared.replica.ready = True
         self.read_at = max(self.read_at, begun)
-        log.info("state read", rev=self.node.replica.rev, live=len(self.node.replica.live), ended=len(self.node.replica.ended))
-        self.node.replica_news()
+        log.info("state read", rev=self.shared.replica.rev, live=len(self.shared.replica.live), ended=len(self.shared.replica.ended))
+        self.news()
 
     async def current(self) -> bool:
         """Whether the copy was proven current by a read begun after this call."""
@@ -94,16 +93,16 @@
                 await self.prove_wake.wait()
             batch, self.waiters = self.waiters, []
             ok = False
-            begun = time.monotonic()
+            begun = self.shared.clock()
             try:
-                if self.node.replica.ready:
-                    answer = await self.node.store.watch(PREFIX, self.node.replica.rev, 0)
+                if self.shared.replica.ready:
+                    answer = await self.shared.store.watch(PREFIX, self.shared.replica.rev, 0)
                     if answer is None:
-                        self.node.replica.ready = False
+                        self.shared.replica.ready = False
                     else:
                         ok = True
                         self._took(begun, *answer)
-                        self.node.proved(begun)
+                        self.proved(begun)
             except (Refused, Unknown):
                 pass
             for done, result in batch:
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -14,22 +13,25 @@
     SHARD,
     Ended,
 )  # fmt: skip
+from ploverhall.control.following import Following
+from ploverhall.control.hearing import Hearing
+from ploverhall.control.roles import Roles
+from ploverhall.control.shared import Held, Shared
 from ploverhall.coordination.stranded import Stranded
 from ploverhall.coordination.told import CAN, Told
 from ploverhall.protocol.jobs import DONE
 from ploverhall.protocol.state import Refused, Unknown
 
-if TYPE_CHECKING:
-    from ploverhall.control.node import Held, Node
-
 TAKE_AGAIN_S = 10.0  # a shard that is taken from a live holder and lost again is left alone for this long
 
 
 class Membership:
     """Which shards this node holds: its lease, claims, takeovers and hand-backs."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, shared: Shared, hearing: Hearing, following: Following, roles: Roles, told: Told,
+                 all_up: Callable[[], bool]) -> None:
+        self.shared, self.hearing, self.following, self.roles, self.told = shared, hearing, following, roles, told
+        self.all_up = all_up  # whether there is a connection to every peer
         self.shard_wake = anyio.Event()
         self.orphans: dict[int, float] = {}
         self.home_alive: dict[int, tuple[int, float]] = {}
@@ -39,13 +41,11 @@
         self.granted = 0.0  # when this node's key was known to be in the store
         self.renewed = 0.0  # when the newest request began that showed it to be alive
         self.shown = 0  # the revision that this node's key says it has read up to
-        s = node.settings
-        self.told = Told([p.name for p in s.peers], s.cancel_s, s.lease_s, s.options.cut_off_s, time.monotonic())
 
     def notice(self, now: float) -> None:
         """Which members' keys are there, and what they say."""
         for name in self.told.members:
-            value, _ = self.node.replica.keys.get(NODE + name, (None, 0))
+            value, _ = self.shared.replica.keys.get(NODE + name, (None, 0))
             if not isinstance(value, dict):
                 self.told.gone(name, now)
                 continue
@@ -56,7 +56,7 @@
         """Whether a user may be told how a job ended: of a cancellation, only once all know of it (see coordination.told)."""
         if end.how == DONE:
             return True
-        return self.node.replica.rev >= end.version and self.told.may_tell(end.version, time.monotonic())
+        return self.shared.replica.rev >= end.version and self.told.may_tell(end.version, self.shared.clock())
 
     def isolated(self, now: float) -> bool:
         """Whether others may have told a user of a cancellation that this node can't hear of.
@@ -64,36 +64,36 @@
         Then it stops answering workers early enough for their leases to run out within the time a cancellation has. In an
         outage that every controller confirms, nobody can cancel: go on.
         """
-        read = self.node.following.read_at
+        read = self.following.read_at
         # the long time only once it has read what came before the key that promises to wait with telling
         fence = self.told.fence if read > self.granted else self.told.early
         if now - min(read, self.renewed) < fence:
             return False
-        heard = sum(1 for at, _ in self.node.peer_news.values() if now - at < 3.0)
-        return heard < len(self.node.settings.peers)
+        heard = sum(1 for at, _ in self.hearing.peer_news.values() if now - at < 3.0)
+        return heard < len(self.shared.settings.peers)
 
     async def lease_loop(self) -> None:
         """Keep a lease and the key that shows this node is up."""
-        ttl = self.node.settings.options.shard_lease_s
+        ttl = self.shared.settings.options.shard_lease_s
         while True:
             try:
-                begun = time.monotonic()
+                begun = self.shared.clock()
                 if self.lease is None:
-                    lease = await self.node.store.grant(ttl)
+                    lease = await self.shared.store.grant(ttl)
                     if await self._show(lease):
-                        self.lease, self.granted, self.renewed = lease, time.monotonic(), begun
+                        self.lease, self.granted, self.renewed = lease, self.shared.clock(), begun
                         log.info("lease", lease=lease)
                         self.shard_wake.set()
-                elif not await self.node.store.renew(lease := self.lease):
+                elif not await self.shared.store.renew(lease := self.lease):
                     log.error("lease lost", lease=lease)
                     self.lease = None
-                    for shard in list(self.node.held):
-                        self.node.lose(shard, "lease")
-                    self.node.renter = None
+                    for shard in list(self.shared.held):
+                        self.roles.lose(shard, "lease")
+                    self.shared.renter = None
                     continue
                 else:
                     self.renewed = begun
-                    if self.node.cancelled_rev > self.shown and not all(link.up for link in self.node.links):
+                    if self.shared.cancelled_rev > self.shown and not self.all_up():
                         await self._show(lease)  # who can't be told directly reads it there
                 await anyio.sleep(ttl / 4)
             except (Refused, Unknown):
@@ -104,9 +104,9 @@
 
         Tethered to that lease: without one it would outlive the process, and be taken for it for ever.
         """
-        key, seen = NODE + self.node.settings.name, self.node.replica.rev
-        value = {"zone": self.node.settings.zone, "can": [CAN], "seen": seen}
-        _, failed = await self.node.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
+        key, seen = NODE + self.shared.settings.name, self.shared.replica.rev
+        value = {"zone": self.shared.settings.zone, "can": [CAN], "seen": seen}
+        _, failed = await self.shared.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
         if not failed:
             self.shown = seen
         return not failed
@@ -115,45 +115,45 @@
         """Hold the shards that this node should hold."""
         while True:
             self.shard_wake = anyio.Event()
-            if self.node.replica.ready and self.lease is not None:
-                now = time.monotonic()
-                for shard in range(len(self.node.layout.nodes)):
+            if self.shared.replica.ready and self.lease is not None:
+                now = self.shared.clock()
+                for shard in range(len(self.shared.layout.nodes)):
                     await self.check(shard, now)
             with anyio.move_on_after(0.2):
                 await self.shard_wake.wait()
 
     async def check(self, shard: int, now: float) -> None:
         """One shard: claim it, keep it, hand it back, or leave it."""
-        name = self.node.settings.name
-        holder, version = self.node.replica.holder(shard)
-        held = self.node.held.get(shard)
-        if held is not None and version != held.epoch and self.node.replica.rev >= held.epoch:
+        name = self.shared.settings.name
+        holder, version = self.shared.replica.holder(shard)
+        held = self.shared.held.get(shard)
+        if held is not None and version != held.epoch and self.shared.replica.rev >= held.epoch:
             # another holds it, or its key went with a lease that ended while this controller stood still
-            self.node.lose(shard, "taken over" if version else "its key is gone")
+            self.roles.lose(shard, "taken over" if version else "its key is gone")
             held = None
-        home = self.node.layout.nodes[shard]
-        _, home_version = self.node.replica.keys.get(NODE + home, (None, 0))
+        home = self.shared.layout.nodes[shard]
+        _, home_version = self.shared.replica.keys.get(NODE + home, (None, 0))
         # -1: not even its absence has been seen yet (a home that was down at the start left no entry: KeyError)
         if self.home_alive.get(shard, (-1, 0.0))[0] != home_version:
             self.home_alive[shard] = (home_version, now)
         if held is not None:
-            steady = now - self.home_alive[shard][1] > self.node.settings.options.handback_s and self.node.heard(home, now)
-            if shard != self.node.me and home_version and steady and now - self.taken_at.get(shard, -1e9) > 30.0:
+            steady = now - self.home_alive[shard][1] > self.shared.settings.options.handback_s and self.hearing.heard(home, now)
+            if shard != self.shared.me and home_version and steady and now - self.taken_at.get(shard, -1e9) > 30.0:
                 await self._hand_back(held)
             return
         if holder == name:
             await self._claim(shard, version)  # an earlier life of this process, or a claim of unknown outcome
         elif holder is None:
             since = self.orphans.setdefault(shard, now)
-            alive = [n for n in self.node.layout.nodes if self.node.replica.alive(n) and n != home] or [name]
-            delay = self.node.layout.claim_delay(name, shard, alive, len(self.node.held))
-            if shard != self.node.me and home_version:
+            alive = [n for n in self.shared.layout.nodes if self.shared.replica.alive(n) and n != home] or [name]
+            delay = self.shared.layout.claim_delay(name, shard, alive, len(self.shared.held))
+            if shard != self.shared.me and home_version:
                 delay += 3.0  # its home is up and will claim it
             if now - since >= delay:
                 await self._claim(shard, 0)
             return
         elif now - self.taken_at.get(shard, -1e9) > TAKE_AGAIN_S and self.stranded.should_take(
-            shard, self.node.heard(holder, now), now, shard == self.node.me, self.node.quiet(holder, shard, now)
+            shard, self.hearing.heard(holder, now), now, shard == self.shared.me, self.hearing.quiet(holder, shard, now)
         ):
             log.info("workers can't reach their controller", shard=shard, holder=holder)
             self.taken_at[shard] = now
@@ -163,8 +163,8 @@
     async def _claim(self, shard: int, version: int) -> None:
         key = f"{SHARD}{shard}"
         try:
-            epoch, failed = await self.node.store.txn(
-                {key: version}, {key: {"node": self.node.settings.name}}, [], self.lease, frozenset({key}), urgent=True
+            epoch, failed = await self.shared.store.txn(
+                {key: version}, {key: {"node": self.shared.settings.name}}, [], self.lease, frozenset({key}), urgent=True
             )
         except (Refused, Unknown):
             return
@@ -172,14 +172,14 @@
             self.lease = None
         if failed:
             return
-        self.node.replica.put_own(key, {"node": self.node.settings.name}, epoch)
+        self.shared.replica.put_own(key, {"node": self.shared.settings.name}, epoch)
         self.orphans.pop(shard, None)
-        self.node.take(shard, epoch)
+        self.roles.take(shard, epoch)
 
     async def _hand_back(self, held: Held) -> None:
         key = f"{SHARD}{held.shard}"
-        self.node.lose(held.shard, "handed back")
+        self.roles.lose(held.shard, "handed back")
         try:
-            await self.node.store.txn({key: held.epoch}, {}, [key], urgent=True)
+            await self.shared.store.txn({key: held.epoch}, {}, [key], urgent=True)
         except (Refused, Unknown):
             pass  # if it has not landed, the next round finds this node as the holder and claims again
--- a/ploverhall/control/renting.py
+++ b/ploverhall/control/renting.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -14,26 +13,25 @@
     TYPE,
     TYPES,
 )  # fmt: skip
+from ploverhall.control.routing import Routing
+from ploverhall.control.shared import Shared
 from ploverhall.coordination import boards
 from ploverhall.coordination.renter import Rent, Renter
 from ploverhall.protocol import cloud
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.state import Refused, Unknown
-from ploverhall.transport.http import Client, Unreachable
-
-if TYPE_CHECKING:
-    from ploverhall.control.node import Node
+from ploverhall.transport.http import Unreachable
 
 
 class Renting:
     """The renter's role: held by lease, played by calls to the cloud."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, shared: Shared, routing: Routing, lease: Callable[[], int | None]) -> None:
+        self.shared, self.routing = shared, routing
+        self.lease = lease  # this controller's, while it has one
         self.renter_orphan = 0.0
         self.pending: list[tuple[str, Rent]] = []
-        host, port = node.settings.cloud
-        self.cloud = Client(host, port, keep=2)
+        self.cloud = shared.client(*shared.settings.cloud, keep=2)
 
     def stood_still(self) -> None:
         """What was to be rented was wanted then; others may rent by now."""
@@ -45,26 +43,26 @@
         last_list = last_types = last_plan = 0.0
         while True:
             await anyio.sleep(0.25)
-            now = time.monotonic()
-            if not self.node.replica.ready or self.node.membership.lease is None:
+            now = self.shared.clock()
+            if not self.shared.replica.ready or self.lease() is None:
                 continue
-            holder, version = self.node.replica.renter()
-            if self.node.renter is not None and version > self.node.renter.epoch:
-                self.node.renter = None
-            if self.node.renter is None:
-                self.node.outbox.drop(("r",), boards.RENTER)
+            holder, version = self.shared.replica.renter()
+            if self.shared.renter is not None and version > self.shared.renter.epoch:
+                self.shared.renter = None
+            if self.shared.renter is None:
+                self.shared.outbox.drop(("r",), boards.RENTER)
                 pending.clear()
                 if holder is None:
                     self.renter_orphan = self.renter_orphan or now
-                    if now - self.renter_orphan < 0.1 + 0.5 * ((self.node.me + version) % len(self.node.layout.nodes)):
+                    if now - self.renter_orphan < 0.1 + 0.5 * ((self.shared.me + version) % len(self.shared.layout.nodes)):
                         continue
-                elif holder != self.node.settings.name:
+                elif holder != self.shared.settings.name:
                     self.renter_orphan = 0.0
                     continue
                 if not await self._claim_renter(version, now):
                     continue
                 last_list = last_types = 0.0
-            renter = self.node.renter
+            renter = self.shared.renter
             if renter is None:
                 continue
             try:
@@ -74,68 +72,68 @@
                         last_types = now
                         renter.types = cloud.types(answer)
                         await self._store_types(renter.types)
-                    elif self.node.types and not renter.types:
-                        renter.types = self.node.types
+                    elif self.shared.types and not renter.types:
+                        renter.types = self.shared.types
                 if now - last_list > 2.0:
                     last_list = now
                     await self._list(renter, now)
                 if now - last_plan > 1.0:
                     last_plan = now
-                    plan = renter.plan(now, time.time())
+                    plan = renter.plan(now, self.shared.wall())
                     if not pending:
                         pending += [(renter.plea(), r) for r in plan.rent]
                     for i in range(0, len(plan.give_back), 100):
                         await self._return(renter, plan.give_back[i : i + 100])
-                while pending and self.node.renter is renter:
+                while pending and self.shared.renter is renter:
                     plea, r = pending[0]
                     status, answer = await self.cloud.call("POST", "/hosts", cloud.rent(plea, *r.kind, r.count), timeout=3)
                     if status == 200:
                         names = list(answer["perches"])  # type: ignore[index]
                         log.info("rented", type=r.kind[0], zone=r.kind[1], spot=int(r.kind[2]), asked=r.count, got=len(names))
-                        renter.on_rented(names, r.kind, r.count, time.monotonic())
+                        renter.on_rented(names, r.kind, r.count, self.shared.clock())
                     elif status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
                         log.info("no capacity", type=r.kind[0], zone=r.kind[1], spot=int(r.kind[2]))
-                        renter.on_refused(r.kind, time.monotonic())
+                        renter.on_refused(r.kind, self.shared.clock())
                     elif status in (429, 503):
                         break
                     if pending and pending[0][0] == plea:
                         pending.pop(0)
-                    await anyio.sleep(1.2 / self.node.settings.cloud_rps)
+                    await anyio.sleep(1.2 / self.shared.settings.cloud_rps)
             except Unreachable:
                 continue  # asked again under the same name: it gives the same answer
 
     async def _claim_renter(self, version: int, now: float) -> bool:
         try:
-            epoch, failed = await self.node.store.txn(
-                {RENTER: version}, {RENTER: {"node": self.node.settings.name}}, [],
-                self.node.membership.lease, frozenset({RENTER}), urgent=True,
+            epoch, failed = await self.shared.store.txn(
+                {RENTER: version}, {RENTER: {"node": self.shared.settings.name}}, [],
+                self.lease(), frozenset({RENTER}), urgent=True,
             )  # fmt: skip
         except (Refused, Unknown):
             return False
         if failed:
             return False
-        s = self.node.settings
-        self.node.replica.put_own(RENTER, {"node": s.name}, epoch)
-        self.node.renter = Renter(epoch, s.options.idle_return_s, s.options.spare, s.list_lag_s, s.lease_s, now)
-        self.node.renter.types = self.node.types or {}
+        s = self.shared.settings
+        self.shared.replica.put_own(RENTER, {"node": s.name}, epoch)
+        self.shared.renter = Renter(epoch, s.options.idle_return_s, s.options.spare, s.list_lag_s, s.lease_s, now)
+        self.shared.renter.types = self.shared.types or {}
         self.renter_orphan = 0.0
-        for job, _ in self.node.replica.live.values():
-            self.node.renter.on_job(job, now - max(0.0, time.time() - job.at))
+        for job, _ in self.shared.replica.live.values():
+            self.shared.renter.on_job(job, now - max(0.0, self.shared.wall() - job.at))
         log.info("renter", epoch=epoch)
-        self.node.route()
-        self.node.replay(boards.RENTER, ("d", "m"))
-        self.node.poke()
+        self.routing.route()
+        self.routing.replay(boards.RENTER, ("d", "m"))
+        self.shared.poke()
         return True
 
     async def _store_types(self, types: dict[str, MachineType]) -> None:
         """Keep the machine types for starts while the cloud is down."""
-        stored = self.node.replica.types()
+        stored = self.shared.replica.types()
         if stored is not None and {n: t.vec for n, t in stored.items()} == {n: t.vec for n, t in types.items()}:
             return
         try:
             for t in types.values():
-                await self.node.store.txn({}, {TYPE + t.name: t.record()}, [])
-            await self.node.store.txn({}, {TYPES: {"n": len(types)}}, [])
+                await self.shared.store.txn({}, {TYPE + t.name: t.record()}, [])
+            await self.shared.store.txn({}, {TYPES: {"n": len(types)}}, [])
         except (Refused, Unknown):
             pass
 
@@ -151,7 +149,7 @@
             if not more or not page:
                 break
             after = page[-1].name
-        renter.on_list(items, now, time.monotonic())
+        renter.on_list(items, now, self.shared.clock())
 
     async def _return(self, renter: Renter, names: list[str]) -> None:
         for n in names:
@@ -160,5 +158,5 @@
         status, _ = await self.cloud.call("POST", "/hosts/return", {"perches": names}, timeout=3)
         if status == 200:
             log.info("returned", machines=",".join(names))
-            renter.on_gone(names, time.monotonic())
-        await anyio.sleep(1.2 / self.node.settings.cloud_rps)
+            renter.on_gone(names, self.shared.clock())
+        await anyio.sleep(1.2 / self.shared.settings.cloud_rps)
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import time
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any
 
 import anyio
 import orjson
@@ -17,6 +17,12 @@
     end_record,
     ended,
 )  # fmt: skip
+from ploverhall.control.following import Following
+from ploverhall.control.hearing import Hearing
+from ploverhall.control.membership import Membership
+from ploverhall.control.routing import Routing
+from ploverhall.control.shared import Shared
+from ploverhall.control.telling import Telling
 from ploverhall.coordination.fleet import fits
 from ploverhall.coordination.owner import TOKEN_BITS
 from ploverhall.log import where
@@ -26,9 +32,6 @@
 from ploverhall.transport.http import Reply
 from ploverhall.transport.wire import Request
 
-if TYPE_CHECKING:
-    from ploverhall.control.node import Node
-
 SETTLE_S = 1.0  # how long a cancellation's answer waits for the other controllers' word before its user is sent away
 WAIT_S, GUEST_WAIT_S = 1.5, 0.5  # a submission that would wait for longer is refused at once, and told when to come back
 
@@ -36,8 +39,10 @@
 class Requests:
     """What users, workers and the load balancer ask."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, shared: Shared, hearing: Hearing, routing: Routing, following: Following, membership: Membership, telling: Telling,
+                 news: Callable[[], None]) -> None:
+        self.shared, self.hearing, self.routing, self.telling = shared, hearing, routing, telling
+        self.following, self.membership, self.news = following, membership, news
         self.storing = 0  # submissions that wait to be written
 
     async def handle(self, q: Request) -> Reply:
@@ -57,7 +62,8 @@
                     return await self.withdraw(jid)
             if q.path == "/status" and q.method == "GET":
                 chosen = {k: v for k, v in q.query.items() if k in ("job", "team", "machine") and v}
-                return Reply(200, await self.node.telling.answer(chosen))
+                told = self.state_of(chosen["job"]) if "job" in chosen else None
+                return Reply(200, {**await self.telling.answer(chosen), "told": told})
             return Reply(404, {"error": "no such path"})
         except Exception as e:
             log.error("request failed", path=q.path, error=repr(e), at=where(e))
@@ -65,11 +71,11 @@
 
     def healthy(self) -> bool:
         """Ready, and not the only one that the state service refuses."""
-        now = time.monotonic()
-        if not self.node.replica.ready or self.node.types is None:
+        now = self.shared.clock()
+        if not self.shared.replica.ready or self.shared.types is None:
             return False
-        mine = now - self.node.store.last_ok
-        others = [news.age + now - heard for heard, news in self.node.peer_news.values() if now - heard < 3]
+        mine = now - self.shared.store.last_ok
+        others = [news.age + now - heard for heard, news in self.hearing.peer_news.values() if now - heard < 3]
         return mine < 2.5 or not any(age < 1.5 for age in others)
 
     def report(self, q: Request) -> Reply:
@@ -78,50 +84,50 @@
             r = workers.decode(q.body)
         except workers.Malformed as e:
             return Reply(400, {"error": str(e)})
-        part = self.node.layout.part(r.zone, r.machine)
-        held = self.node.held.get(part)
+        part = self.shared.layout.part(r.zone, r.machine)
+        held = self.shared.held.get(part)
         if held is None:
-            node = self.node.holder(part)
-            holder, epoch = self.node.replica.holder(part)
-            if holder is not None and holder != self.node.settings.name and r.token >> TOKEN_BITS <= epoch:
-                self.node.membership.stranded.note(part, r.machine, r.token >> TOKEN_BITS == epoch, time.monotonic())
-                self.node.membership.shard_wake.set()
-                if self.node.quiet(holder, part, time.monotonic()):
+            node = self.routing.holder(part)
+            holder, epoch = self.shared.replica.holder(part)
+            if holder is not None and holder != self.shared.settings.name and r.token >> TOKEN_BITS <= epoch:
+                self.membership.stranded.note(part, r.machine, r.token >> TOKEN_BITS == epoch, self.shared.clock())
+                self.membership.shard_wake.set()
+                if self.hearing.quiet(holder, part, self.shared.clock()):
                     return Reply(421, {})  # sent back there it would hang; somebody takes the shard in a moment
-            return Reply(421, workers.homing(node if node != self.node.settings.name else None))
-        now = time.monotonic()
-        if self.node.membership.isolated(now):
+            return Reply(421, workers.homing(node if node != self.shared.settings.name else None))
+        now = self.shared.clock()
+        if self.membership.isolated(now):
             return Reply(421, {})
         m = held.owner.on_report(r, now)
         if m is None:
             log.info("deposed", shard=part, epoch=held.epoch, by=held.owner.deposed_by)
-            node = self.node.replica.holder(part)[0]
-            return Reply(421, workers.homing(node if node != self.node.settings.name else None))
+            node = self.shared.replica.holder(part)[0]
+            return Reply(421, workers.homing(node if node != self.shared.settings.name else None))
         calls = held.owner.commands(m, now)
         m.last_answer = now
 
         def sent() -> None:
-            m.last_answer = time.monotonic()
+            m.last_answer = self.shared.clock()
 
         if held.owner.dirty or held.owner.changed:
-            self.node.poke()
+            self.shared.poke()
         return Reply(200, workers.answer(m.token, calls), sent=sent)
 
     def state_of(self, jid: str) -> dict[str, Any] | None:
         """What users are told of a job, from the copy."""
-        if (end := self.node.replica.ended.get(jid)) is not None:
+        if (end := self.shared.replica.ended.get(jid)) is not None:
             return jobs.view(jid, end.how, end.done)
-        known = self.node.replica.live.get(jid)
+        known = self.shared.replica.live.get(jid)
         if known is None:
             return None
-        shard = self.node.layout.team_shard.get(known[0].team, -1)
-        held = self.node.held.get(shard)
+        shard = self.shared.layout.team_shard.get(known[0].team, -1)
+        held = self.shared.held.get(shard)
         done, running = 0, 0
         if held is not None and held.source is not None:
             done, running = held.source.progress(jid)
         else:
-            for dst in range(len(self.node.layout.nodes)):
-                counts = self.node.inbox.boards.get(("c", shard, dst))
+            for dst in range(len(self.shared.layout.nodes)):
+                counts = self.shared.inbox.boards.get(("c", shard, dst))
                 if counts is not None and jid in counts[1]:
                     done, running = counts[1][jid]
                     break
@@ -129,10 +135,10 @@
 
     def why_never(self, job: Job) -> str | None:
         """Why a job can never run; None if it can."""
-        team = self.node.teams.get(job.team)
+        team = self.shared.teams.get(job.team)
         if team is None:
             return "unknown team"
-        types = self.node.types or {}
+        types = self.shared.types or {}
         if not any(
             fits(job.vec, t.vec) and (job.types is None or t.name in job.types) and (job.zone is None or job.zone in t.zones)
             for t in types.values()
@@ -146,28 +152,28 @@
     async def submit(self, q: Request) -> Reply:
         """POST /api/jobs."""
         try:
-            job = jobs.parse(orjson.loads(q.body), time.time())
+            job = jobs.parse(orjson.loads(q.body), self.shared.wall())
         except (orjson.JSONDecodeError, jobs.Malformed) as e:
             return Reply(400, {"error": str(e)})
-        if (end := self.node.replica.ended.get(job.id)) is not None:
+        if (end := self.shared.replica.ended.get(job.id)) is not None:
             return self.final(job.id, end)
-        if not self.node.replica.ready or self.node.types is None:
+        if not self.shared.replica.ready or self.shared.types is None:
             return Reply(503, {"error": "not ready"}, 1.0)
-        if job.id in self.node.replica.live:
-            return Reply(200, self.state_of(job.id)) if await self.node.following.current() else Reply(503, {"error": "state unknown"}, 1.0)
+        if job.id in self.shared.replica.live:
+            return Reply(200, self.state_of(job.id)) if await self.following.current() else Reply(503, {"error": "state unknown"}, 1.0)
         if (why := self.why_never(job)) is not None:
             return Reply(422, {"error": why})
         record = job.record()
-        if len(orjson.dumps(record)) > self.node.settings.value_bytes - 64:
+        if len(orjson.dumps(record)) > self.shared.settings.value_bytes - 64:
             return Reply(400, {"error": "description too long to be kept"})
-        writes, team = self.node.store.writes, self.node.teams[job.team]
+        writes, team = self.shared.store.writes, self.shared.teams[job.team]
         guest = team.cpus <= 0 and team.gpus <= 0
         wait = writes.wait(1) + self.storing / writes.rate
         if wait > (GUEST_WAIT_S if guest else WAIT_S):
             return Reply(429, {"error": "busy"}, wait + 1)
         self.storing += 1
         try:
-            rev, failed = await self.node.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [])
+            rev, failed = await self.shared.store.txn({JOB + job.id: 0, ARCHIVE + job.id: 0}, {JOB + job.id: record}, [])
         except (Refused, Unknown):
             return Reply(503, {"error": "not stored"}, 1.0)
         finally:
@@ -176,8 +182,8 @@
             known = await self.known(job.id)
             return Reply(200, known) if isinstance(known, dict) else known or Reply(503, {"error": "state unknown"}, 1.0)
         log.info("accepted", job=job.id, team=job.team, kind=job.kind, tasks=job.n)
-        self.node.replica.put_own(JOB + job.id, record, rev)
-        self.node.replica_news()
+        self.shared.replica.put_own(JOB + job.id, record, rev)
+        self.news()
         return Reply(201, {"id": job.id, "stance": jobs.QUEUED})
 
     async def poll(self, jid: str) -> Reply:
@@ -189,32 +195,32 @@
 
     def final(self, jid: str, end: Ended) -> Reply:
         """How a job ended; a cancellation only once every controller that could still run its tasks knows of it."""
-        if not self.node.membership.may_tell(end):
-            self.node.following.ask()
+        if not self.membership.may_tell(end):
+            self.following.ask()
             return Reply(503, {"error": "not known to all controllers yet"}, 1.0)
         return Reply(200, jobs.view(jid, end.how, end.done))
 
     async def settled(self, jid: str, end: Ended) -> Reply:
         """The same, waiting a moment for the other controllers' word."""
         with anyio.move_on_after(SETTLE_S):
-            while not self.node.membership.may_tell(end):
-                self.node.following.ask()
+            while not self.membership.may_tell(end):
+                self.following.ask()
                 await anyio.sleep(0.03)
         return self.final(jid, end)
 
     async def known(self, jid: str) -> dict[str, Any] | Reply | None:
         """What is known of a job for certain; a refusal where it can't be known now, None where there is no such job."""
-        if jid not in self.node.replica.ended and not await self.node.following.current():
+        if jid not in self.shared.replica.ended and not await self.following.current():
             return Reply(503, {"error": "state unknown"}, 1.0)
-        if (end := self.node.replica.ended.get(jid)) is not None:
+        if (end := self.shared.replica.ended.get(jid)) is not None:
             return self.final(jid, end)
         state = self.state_of(jid)
-        if state is not None or ARCHIVED not in self.node.replica.keys:
+        if state is not None or ARCHIVED not in self.shared.replica.keys:
             return state
-        if self.node.store.requests.wait(self.node.store.requests.rate / 2) > 0:
+        if self.shared.store.requests.wait(self.shared.store.requests.rate / 2) > 0:
             return Reply(503, {"error": "busy"}, 1.0)  # who asks for old or unknown jobs never delays a lease or a permit
         try:
-            value, version = await self.node.store.get(ARCHIVE + jid)
+            value, version = await self.shared.store.get(ARCHIVE + jid)
         except (Refused, Unknown):
             return Reply(503, {"error": "state unknown"}, 1.0)
         if value is None:
@@ -227,19 +233,19 @@
         if not jobs.ID.match(jid):
             return Reply(404, {"error": "no such job"})
         for _ in range(3):
-            if (end := self.node.replica.ended.get(jid)) is not None:
+            if (end := self.shared.replica.ended.get(jid)) is not None:
                 return await self.settled(jid, end)
-            known = self.node.replica.live.get(jid)
+            known = self.shared.replica.live.get(jid)
             if known is not None:
                 record = end_record(jobs.WITHDRAWN, 0)
                 try:
-                    rev, failed = await self.node.store.txn({JOB + jid: known[1]}, {JOB + jid: record}, [])
+                    rev, failed = await self.shared.store.txn({JOB + jid: known[1]}, {JOB + jid: record}, [])
                 except (Refused, Unknown):
                     return Reply(503, {"error": "not stored"}, 1.0)
                 if not failed:
                     log.info("withdrawn", job=jid)
-                    self.node.replica.put_own(JOB + jid, record, rev)
-                    self.node.replica_news()
+                    self.shared.replica.put_own(JOB + jid, record, rev)
+                    self.news()
                     return await self.settled(jid, ended(record, rev))
             state = await self.known(jid)
             if state is None:
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
+from collections.abc import Awaitable, Callable
 from itertools import islice
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from zlib import crc32
 
 import anyio
@@ -17,17 +17,17 @@
     ARCHIVED,
     JOB,
     SHARD,
+    Ended,
     cell_prefix,
     end_record,
     progress_prefix,
 )  # fmt: skip
+from ploverhall.control.routing import Routing
+from ploverhall.control.shared import Held, Shared
 from ploverhall.coordination.ledger import Txn
 from ploverhall.coordination.source import Source
 from ploverhall.protocol.state import Refused, Unknown
 
-if TYPE_CHECKING:
-    from ploverhall.control.node import Held, Node
-
 IMAGES_EVERY_S = 4.0
 ARCHIVE_EVERY_S = 1.0
 KEPT, PATIENCE_S = 1.0, 0.5  # a write leaves a change for the next submission, unless it has waited for so long
@@ -36,13 +36,16 @@
 class Writing:
     """What a source and an owner keep in the state service: cells, ends, images."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, shared: Shared, routing: Routing, *, current: Callable[[], Awaitable[bool]], news: Callable[[], None],
+                 may_tell: Callable[[Ended], bool], deposed: Callable[[int], None]) -> None:
+        self.shared, self.routing = shared, routing
+        self.current, self.news, self.may_tell = current, news, may_tell
+        self.deposed = deposed  # a write was refused because another controller holds the shard
 
     async def source(self, held: Held) -> None:
         """Read the cells, then permit: the new source knows every start that may be anywhere."""
-        s = self.node.settings
-        teams = [self.node.teams[t] for t in self.node.layout.teams(held.shard)]
+        s = self.shared.settings
+        teams = [self.shared.teams[t] for t in self.shared.layout.teams(held.shard)]
         with held.scope:
             source = Source(held.shard, held.epoch, teams, s.zones, s.value_bytes, s.txn_ops)
             source.note, source.report = log.debug, log.info
@@ -51,26 +54,26 @@
             for t in teams:
                 cells[t.name] = await self._read(cell_prefix(t.name))
                 progress[t.name] = await self._read(progress_prefix(t.name))
-            while not await self.node.following.current():
+            while not await self.current():
                 await anyio.sleep(0.2)
-            now = time.monotonic()
-            for jid, (job, version) in self.node.replica.live.items():
-                if self.node.layout.team_shard.get(job.team) == held.shard:
+            now = self.shared.clock()
+            for jid, (job, version) in self.shared.replica.live.items():
+                if self.shared.layout.team_shard.get(job.team) == held.shard:
                     source.on_job(job, jid, version, now)
             for t in teams:
                 source.install_cell(t.name, cells[t.name], now)
                 source.install_progress(t.name, progress[t.name])
             held.source = source
-            self.node.tell_owners(held, source, now)
-            self.node.replay(held.shard, ("o",))  # it may not have known the starts that this was about
+            self.routing.tell_owners(held, source, now)
+            self.routing.replay(held.shard, ("o",))  # it may not have known the starts that this was about
             log.info("source ready", shard=held.shard, epoch=held.epoch, jobs=len(source.jobs))
-            self.node.poke()
+            self.shared.poke()
             await self._writer(held, source)
 
     async def _read(self, prefix: str) -> dict[str, tuple[Any, int]]:
         while True:
             try:
-                return (await self.node.store.read(prefix))[0]
+                return (await self.shared.store.read(prefix))[0]
             except (Refused, Unknown):
                 await anyio.sleep(0.2)
 
@@ -83,14 +86,14 @@
             keys = set(found)
             while not held.lost:
                 await anyio.sleep(IMAGES_EVERY_S)
-                if not fleet.images_changed or self.node.store.writes.wait(self.node.store.writes.burst / 2) > 0:
+                if not fleet.images_changed or self.shared.store.writes.wait(self.shared.store.writes.burst / 2) > 0:
                     continue  # a hint can wait for a quiet moment
                 fleet.images_changed = False
-                values = images.pack({m.name: m.images for m in fleet.machines.values()}, self.node.settings.value_bytes)
-                puts = {f"{prefix}{i}": v for i, v in enumerate(values[: self.node.settings.txn_ops // 2])}
+                values = images.pack({m.name: m.images for m in fleet.machines.values()}, self.shared.settings.value_bytes)
+                puts = {f"{prefix}{i}": v for i, v in enumerate(values[: self.shared.settings.txn_ops // 2])}
                 old = sorted(keys - puts.keys())[:2]
                 try:
-                    _, failed = await self.node.store.txn({f"{SHARD}{held.shard}": held.epoch}, puts, old)
+                    _, failed = await self.shared.store.txn({f"{SHARD}{held.shard}": held.epoch}, puts, old)
                     if not failed:
                         keys = (keys | puts.keys()) - set(old)
                 except (Refused, Unknown):
@@ -101,7 +104,7 @@
 
         Each controller sees to a fixed share of them, when nobody else wants to write.
         """
-        store, replica, s = self.node.store, self.node.replica, self.node.settings
+        store, replica, s = self.shared.store, self.shared.replica, self.shared.settings
         while True:
             await anyio.sleep(ARCHIVE_EVERY_S)
             surplus = len(replica.ended) - s.options.keep_ended
@@ -109,8 +112,8 @@
                 continue
             oldest = islice(replica.ended.items(), surplus)
             # what is archived may be told by whoever reads it there
-            old = ((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.node.me)
-            mine = list(islice(((j, e) for j, e in old if self.node.membership.may_tell(e)), max(1, s.txn_ops // 2 - 1)))
+            old = ((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.shared.me)
+            mine = list(islice(((j, e) for j, e in old if self.may_tell(e)), max(1, s.txn_ops // 2 - 1)))
             if not mine:
                 continue
             puts: dict[str, Any] = {ARCHIVE + j: end_record(e.how, e.done) for j, e in mine}
@@ -126,46 +129,45 @@
     async def _writer(self, held: Held, source: Source) -> None:
         """Write what the source has decided, one transaction at a time."""
         while not held.lost:
-            txn = source.plan(int(self.node.store.writes.free() - KEPT))
+            txn = source.plan(int(self.shared.store.writes.free() - KEPT))
             if txn is None:
                 held.wake = anyio.Event()
                 with anyio.move_on_after(0.5):
                     await held.wake.wait()
                 continue
             try:
-                revision, failed = await self.node.store.txn(txn.guards, txn.puts, txn.deletes, reserve=KEPT, patience=PATIENCE_S)
+                revision, failed = await self.shared.store.txn(txn.guards, txn.puts, txn.deletes, reserve=KEPT, patience=PATIENCE_S)
             except Refused:
-                await anyio.sleep(0.15 + 0.15 * self.node.rng.random())
+                await anyio.sleep(0.15 + 0.15 * self.shared.rng.random())
                 continue
             except Unknown:
                 source.unknown(txn)
                 await self._reread(held, source, txn, source.teams_of(txn))
                 continue
-            now = time.monotonic()
+            now = self.shared.clock()
             if failed:
                 log.info("write refused", shard=held.shard, failed=",".join(failed))
                 if f"{SHARD}{held.shard}" in failed:
-                    self.node.lose(held.shard, "write refused")
-                    self.node.membership.shard_wake.set()
+                    self.deposed(held.shard)
                     return
                 again = source.refused(txn, failed)
                 await self._reread(held, source, txn, again)
             else:
                 for key, value in txn.puts.items():
                     if key.startswith(JOB):
-                        self.node.replica.put_own(key, value, revision)
+                        self.shared.replica.put_own(key, value, revision)
                 source.landed(txn, revision, now)
-            self.node.replica_news()
-            self.node.poke()
-            await anyio.sleep(self.node.settings.options.write_every_s)
+            self.news()
+            self.shared.poke()
+            await anyio.sleep(self.shared.settings.options.write_every_s)
 
     async def _reread(self, held: Held, source: Source, txn: Txn, teams: list[str]) -> None:
         """After a write of unknown outcome: what the cells hold is what counts; a late one fails its guards."""
         for team in teams:
             found = await self._read(cell_prefix(team))
-            source.install_cell(team, found, time.monotonic())
-        self.node.replay(held.shard, ("o",))  # it may not have known the starts that this was about
+            source.install_cell(team, found, self.shared.clock())
+        self.routing.replay(held.shard, ("o",))  # it may not have known the starts that this was about
         if txn.ends:
-            await self.node.following.current()
-        self.node.replica_news()
-        self.node.poke()
+            await self.current()
+        self.news()
+        self.shared.poke()
--- a/ploverhall/protocol/state.py
+++ b/ploverhall/protocol/state.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
@@ -26,19 +27,21 @@
     """A token bucket. Urgent takers may go below zero, so leases never wait behind ordinary traffic."""
 
     rate: float
+    clock: Callable[[], float] = time.monotonic
     level: float = 0.0
-    at: float = field(default_factory=time.monotonic)
+    at: float = 0.0
     line: anyio.Lock = field(default_factory=anyio.Lock)
     taken: float = 0.0  # since counted
-    counted: float = field(default_factory=time.monotonic)
+    counted: float = 0.0
     usual: float = 0.0
     burst: float = 0.0  # at most so much at once, whatever the rate is by now
 
     def __post_init__(self) -> None:
         self.level = self.burst = self.rate
+        self.at = self.counted = self.clock()
 
     def _fill(self) -> None:
-        now = time.monotonic()
+        now = self.clock()
         self.level = min(self.burst, self.level + (now - self.at) * self.rate)
         self.at = now
 
@@ -57,9 +60,9 @@
 
         With a reserve it waits aside until so much more is left, and lets everybody else go first, as long as its patience lasts.
         """
-        until = time.monotonic() + patience
+        until = self.clock() + patience
         while reserve and ((w := self.wait(n + reserve)) > 0 or self.line.statistics().tasks_waiting):
-            if (left := until - time.monotonic()) <= 0:
+            if (left := until - self.clock()) <= 0:
                 reserve = 0.0
                 break
             await anyio.sleep(min(w + 0.02, left))
@@ -73,7 +76,7 @@
 
     def used(self) -> float:
         """What was taken a second, lately."""
-        now = time.monotonic()
+        now = self.clock()
         if (passed := now - self.counted) >= 0.5:
             self.usual += (self.taken / passed - self.usual) * min(1.0, passed / 2.0)
             self.taken, self.counted = 0.0, now
@@ -92,10 +95,10 @@
 class Store:
     """Typed calls to the state service."""
 
-    def __init__(self, host: str, port: int, rps: float, write_rps: float) -> None:
-        self.client = Client(host, port, keep=12)
-        self.requests = Budget(rps)
-        self.writes = Budget(write_rps)
+    def __init__(self, client: Client, rps: float, write_rps: float, clock: Callable[[], float] = time.monotonic) -> None:
+        self.client, self.clock = client, clock
+        self.requests = Budget(rps, clock)
+        self.writes = Budget(write_rps, clock)
         self.last_ok = 0.0
 
     async def _call(self, method: str, target: str, body: Any = None, timeout: float = 2.0, urgent: bool = False) -> tuple[int, Any]:
@@ -106,7 +109,7 @@
             raise Unknown(str(e)) from e
         if status in (429, 503):
             raise Refused(f"{method} {target}: {status}")
-        self.last_ok = time.monotonic()
+        self.last_ok = self.clock()
         return status, out
 
     async def get(self, key: str) -> tuple[Any, int]:
--- /dev/null
+++ b/ploverhall/seams.py
@@ -0,0 +1,20 @@
+"""What a controller takes from its surroundings besides its settings: clocks, randomness, the network."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from ploverhall.transport.net import TCP, Net
+
+
+@dataclass(slots=True, frozen=True)
+class Seams:
+    """The real ones by default; the tests put a virtual clock and a network of their own here."""
+
+    clock: Callable[[], float] = time.monotonic  # seconds, steady, from any beginning
+    wall: Callable[[], float] = time.time  # seconds, time of day
+    rng: Random = field(default_factory=Random)
+    net: Net = TCP
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -1,19 +1,13 @@
 """What a person called at night wants to see, from one place: what is wrong first, then what waits, died and ended.
 
 A controller's *view* is what it knows of the shards it holds, bounded in size; the views of all of them together are
-the answer (see control.telling).
+the answer (see control.view and control.telling).
 """
 
 from __future__ import annotations
 
 import sys
-import time
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from ploverhall.control.node import Node
-    from ploverhall.coordination.ledger import JobState
-    from ploverhall.coordination.source import Source
+from typing import Any
 
 MOST = 40  # rows of one kind in a view
 MOST_TASKS = 100  # tasks of a job that was asked for
@@ -22,59 +16,6 @@
 STATE_S = 2.5  # a controller that the state service has not answered for longer is in trouble
 
 
-def view(node: Node, chosen: dict[str, str] | None = None) -> dict[str, Any]:
-    """What this controller sees; with a job, team or machine chosen, all that it knows of that."""
-    now = time.monotonic()
-    out: dict[str, Any] = {
-        "node": node.settings.name, "zone": node.settings.zone, "shards": {str(h.shard): h.epoch for h in node.held.values()},
-        "ready": node.replica.ready, "state_age_s": round(now - max(node.started, node.store.last_ok), 1), "short": node.short(),
-        "unheard": [p.name for p in node.settings.peers if not node.heard(p.name, now)],
-        "stood_still": [round(now - node.stood_at, 1), round(node.stood_s, 1)] if now - node.stood_at < LATELY_S else None,
-        "quiet_s": {str(k): round(v, 1) for k, v in node.quiet_for(now).items()},
-        "renter": node.renter is not None, "late": node.renter.late(now)[:MOST] if node.renter is not None else [],
-        "teams": {}, "queue": {}, "jobs": [], "machines": {}, "trouble_machines": [], "died": [], "ended": [], "left_out": 0,
-    }  # fmt: skip
-    jobs: list[tuple[Any, str, Source, JobState, str]] = []
-    for h in node.held.values():
-        if h.source is not None:
-            _teams(out, h.source)
-            for js in h.source.jobs.values():
-                if chosen and not _chosen(js, chosen):
-                    continue
-                why = _why(h.source, js, now)
-                if why and js.job is not None:
-                    row = out["queue"].setdefault(why.partition(":")[0], [0, 0])
-                    row[0] += 1
-                    row[1] += js.waiting()
-                if chosen or why or js.broken:
-                    jobs.append(((not js.broken, *h.source.order(js)) if js.job else (True, 9.0), js.id, h.source, js, why))
-            for d in h.source.deaths:
-                if not chosen or chosen.get("job") == d.job or chosen.get("machine") == d.machine:
-                    out["died"].append([round(now - d.at, 1), d.job, d.task, d.machine, d.why])
-            for e in h.source.ends:
-                if not chosen or chosen.get("job") == e.job or chosen.get("team") == e.team:
-                    out["ended"].append([round(now - e.at, 1), *e[1:]])
-        for m in h.owner.machines.values():
-            state = "silent" if m.expired or now - m.last_report > 2 * node.settings.report_s + 1.5 else (
-                "leaving" if m.notice_s is not None else "not trusted" if m.faulty_until > now else "draining" if m.draining else "up")
-            out["machines"][state] = out["machines"].get(state, 0) + 1
-            if (chosen.get("machine") == m.name) if chosen else state not in ("up", "draining", "leaving"):
-                out["trouble_machines"].append({
-                    "name": m.name, "type": m.type, "zone": m.zone, "spot": m.spot, "tasks": len(m.tasks), "state": state,
-                    "silent_s": round(now - m.last_report, 1), "failed": sorted(m.faults),
-                    "free": [round(x, 2) for x in h.owner.fleet.room(m)],
-                })  # fmt: skip
-    jobs.sort(key=lambda x: x[:2])
-    out["left_out"] = max(0, len(jobs) - MOST)
-    out["jobs"] = [_job(source, js, why, now, chosen) for _, _, source, js, why in jobs[:MOST]]
-    for key in ("died", "ended"):
-        out[key].sort()
-    for key in ("trouble_machines", "died", "ended"):
-        out["left_out"] += max(0, len(out[key]) - MOST)
-        out[key] = out[key][:MOST]
-    return out
-
-
 def choose(view: dict[str, Any], chosen: dict[str, str]) -> dict[str, Any]:
     """What an older, whole view holds of what was asked for."""
     if not chosen or not view:
@@ -90,61 +31,6 @@
     }  # fmt: skip
 
 
-def _chosen(js: JobState, chosen: dict[str, str]) -> bool:
-    machine = chosen.get("machine")
-    return (
-        chosen.get("job", js.id) == js.id and chosen.get("team", js.team) == js.team
-        and (not machine or any(e.machine == machine for e in js.entries.values()))
-    )  # fmt: skip
-
-
-def _teams(out: dict[str, Any], source: Source) -> None:
-    for name, team in source.teams.items():
-        used = source.used[name]
-        out["teams"][name] = {
-            "cpus": round(used[0], 2), "gpus": round(used[1], 2),
-            "guarantee": [team.cpus, team.gpus], "limit": [team.cpus_max, team.gpus_max],
-        }  # fmt: skip
-
-
-def _job(source: Source, js: JobState, why: str, now: float, chosen: dict[str, str] | None) -> dict[str, Any]:
-    states: dict[str, int] = {}
-    for e in js.entries.values():
-        states[e.state] = states.get(e.state, 0) + 1
-    klass = js.job.klass if js.job else ""
-    waits = round(now - js.since, 1) if js.job is not None and js.waiting() else 0.0
-    usual = source.usual.get(klass)
-    return {
-        "id": js.id, "team": js.team, "class": klass, "kind": js.job.kind if js.job else "over", "tasks": js.n, "waiting": js.waiting(),
-        "done": js.done_count, "states": states, "why": why, "waits_s": waits, "usual_s": round(usual, 1) if usual is not None else None,
-        "broken": js.broken, "failures": js.failures, "last_failure": js.last_failure, "ready": len(js.offers),
-        "places": [[e.task, e.machine, e.state, e.why] for e in js.entries.values()][: MOST_TASKS if chosen else 0],
-    }  # fmt: skip
-
-
-def _why(source: Source, js: JobState, now: float) -> str:
-    """For what a job waits; nothing if it doesn't."""
-    if js.job is None:
-        return "over: its last tasks are stopping"
-    if js.broken:
-        return f"it fails everywhere: tried again in {max(0.0, js.not_before - now):.0f} s"
-    if js.waiting() == 0:
-        # a gang that has all its places but does not run waits for images, or for a task that is lost
-        if js.job.kind == "gang" and any(e.state == "waiting" for e in js.entries.values()):
-            late = sorted(e.machine for e in js.entries.values() if e.state in ("permitted", "fetching"))
-            return "its other tasks are not up yet: " + ", ".join(late[:5]) if late else ""
-        return ""
-    if js.not_before > now or len(js.resting) >= js.waiting():
-        return f"it has just failed: tried again soon ({js.last_failure})"
-    if js.job.kind == "gang" and js.entries:
-        return "tasks of its last attempt are still somewhere: " + ", ".join(sorted({e.machine for e in js.entries.values()})[:5])
-    if source.headroom(js) < (js.n if js.job.kind == "gang" else 1):
-        return "its team is at its limit"
-    if js.offers:
-        return f"part of its room is ready: {len(js.offers)} of {js.waiting()}"
-    return "no machine has room"
-
-
 def troubles(view: dict[str, Any]) -> dict[str, str]:
     """What is wrong in one controller's view, by a key that stays while it lasts. Keys with ~ only matter to who asks."""
     out: dict[str, str] = {}
--- a/ploverhall/transport/http.py
+++ b/ploverhall/transport/http.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import orjson
 
+from ploverhall.transport.net import TCP, Net
 from ploverhall.transport.wire import Bad, Request, RequestReader, ResponseReader
 
 READ = 65536
@@ -61,7 +62,9 @@
 class Server:
     """Serves one listener. Connections over the cap are told 503 and closed, so others keep their sockets."""
 
-    def __init__(self, handler: Handler, cap: int, idle_s: float = 120.0, slow_s: float = 10.0) -> None:
+    def __init__(self, handler: Handler, cap: int, idle_s: float = 120.0, slow_s: float = 10.0,
+                 net: Net = TCP, clock: Callable[[], float] = time.monotonic) -> None:
+        self.net, self.clock = net, clock
         self.handler = handler
         self.cap = cap
         self.idle_s = idle_s
@@ -70,28 +73,27 @@
 
     async def run(self, host: str, port: int) -> None:
         """Listen and serve until cancelled."""
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=512)
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._sweep)
-            await listener.serve(self._serve)
+            await self.net.serve(host, port, self._serve)
 
     async def _sweep(self) -> None:
         """End the connections that are too slow: one look at all of them instead of a time limit for every read."""
         while True:
             await anyio.sleep(SWEEP_S)
-            now = time.monotonic()
+            now = self.clock()
             for c in self.connections:
                 if now > c.due:
                     c.scope.cancel()
 
-    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
-        c = _Connection(time.monotonic() + self.idle_s)
+    async def _serve(self, stream: anyio.abc.ByteStream) -> None:
+        c = _Connection(self.clock() + self.idle_s)
         self.connections.add(c)
         try:
             with c.scope:
                 async with stream:
                     if len(self.connections) > self.cap:
-                        c.due = time.monotonic() + self.slow_s
+                        c.due = self.clock() + self.slow_s
                         await stream.send(encode(Reply(503, {"error": "busy"}, 1.0, True)))
                         return
                     await self._talk(stream, c)
@@ -100,7 +102,7 @@
         finally:
             self.connections.discard(c)
 
-    async def _talk(self, stream: anyio.abc.SocketStream, c: _Connection) -> None:
+    async def _talk(self, stream: anyio.abc.ByteStream, c: _Connection) -> None:
         reader = RequestReader()
         while True:
             bad: Bad | None = None
@@ -115,20 +117,20 @@
                 c.due = float("inf")  # the handler keeps its own time
                 reply = await self.handler(q)
                 reply.close = reply.close or q.close
-                c.due = time.monotonic() + self.slow_s
+                c.due = self.clock() + self.slow_s
                 await stream.send(encode(reply, q.method == "HEAD"))
                 if reply.sent is not None:
                     reply.sent()
                 if reply.close:
                     return
                 begun = False
-                c.due = time.monotonic() + self.idle_s
+                c.due = self.clock() + self.idle_s
             if bad is not None:
-                c.due = time.monotonic() + self.slow_s
+                c.due = self.clock() + self.slow_s
                 await stream.send(encode(Reply(bad.status, {"error": str(bad)}, None, True)))
                 return
             if reader.begun and not begun:
-                c.due = time.monotonic() + self.slow_s  # a slow client gets this long for the rest of it
+                c.due = self.clock() + self.slow_s  # a slow client gets this long for the rest of it
             if reader.expects and not reader.in_head:
                 reader.expects = False
                 await stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -137,10 +139,11 @@
 class Client:
     """Keeps connections to one address and lends them to one request at a time."""
 
-    def __init__(self, host: str, port: int, keep: int = 8) -> None:
+    def __init__(self, host: str, port: int, keep: int = 8, net: Net = TCP, clock: Callable[[], float] = time.monotonic) -> None:
+        self.net, self.clock = net, clock
         self.host = host
         self.port = port
-        self.idle: deque[tuple[anyio.abc.SocketStream, ResponseReader, float]] = deque()
+        self.idle: deque[tuple[anyio.abc.ByteStream, ResponseReader, float]] = deque()
         self.keep = keep
 
     async def call(self, method: str, target: str, body: object = None, timeout: float = 3.0) -> tuple[int, object]:
@@ -169,23 +172,23 @@
         except orjson.JSONDecodeError as e:
             raise Unreachable(f"{method} {target}: not JSON") from e
 
-    async def _take(self) -> tuple[anyio.abc.SocketStream, ResponseReader]:
+    async def _take(self) -> tuple[anyio.abc.ByteStream, ResponseReader]:
         while self.idle:
             stream, reader, since = self.idle.pop()
-            if time.monotonic() - since < 50:
+            if self.clock() - since < 50:
                 return stream, reader
             await anyio.aclose_forcefully(stream)
-        return await anyio.connect_tcp(self.host, self.port), ResponseReader()
+        return await self.net.connect(self.host, self.port), ResponseReader()
 
-    async def _give(self, stream: anyio.abc.SocketStream, reader: ResponseReader) -> None:
+    async def _give(self, stream: anyio.abc.ByteStream, reader: ResponseReader) -> None:
         if reader.keep and len(self.idle) < self.keep:
             reader.next()
-            self.idle.append((stream, reader, time.monotonic()))
+            self.idle.append((stream, reader, self.clock()))
         else:
             await anyio.aclose_forcefully(stream)
 
     async def _exchange(
-        self, stream: anyio.abc.SocketStream, reader: ResponseReader, method: str, target: str, data: bytes
+        self, stream: anyio.abc.ByteStream, reader: ResponseReader, method: str, target: str, data: bytes
     ) -> tuple[int, bytes]:
         if not target.isascii() or not target.isprintable() or " " in target:
             raise Bad(400, "not a target")  # part of it may come from a user
--- a/ploverhall/transport/peer.py
+++ b/ploverhall/transport/peer.py
@@ -16,6 +16,8 @@
 import anyio.abc
 import cbor2
 
+from ploverhall.transport.net import TCP, Net
+
 VERSION = 1
 MAX_FRAME = 16 * 1024 * 1024
 SPARSE = "some"  # in a greeting: not every frame has to be answered
@@ -28,7 +30,9 @@
 class Link:
     """The sending side towards one peer. `generation` rises with every new connection."""
 
-    def __init__(self, me: str, name: str, host: str, port: int, collect: Callable[[str, int], list[Any]]) -> None:
+    def __init__(self, me: str, name: str, host: str, port: int, collect: Callable[[str, int], list[Any]],
+                 net: Net = TCP, clock: Callable[[], float] = time.monotonic) -> None:
+        self.net, self.clock = net, clock
         self.me, self.name, self.host, self.port = me, name, host, port
         self.collect = collect
         self.generation = 0
@@ -45,10 +49,10 @@
         while True:
             try:
                 with anyio.fail_after(2.0):
-                    stream = await anyio.connect_tcp(self.host, self.port)
+                    stream = await self.net.connect(self.host, self.port)
                 async with stream, anyio.create_task_group() as tg:
                     self.generation += 1
-                    self.heard = time.monotonic()
+                    self.heard = self.clock()
                     await self._send(stream, {"v": VERSION, "from": self.me, "acks": SPARSE})
                     tg.start_soon(self._answers, stream)
                     self.up = True
@@ -59,17 +63,17 @@
                 self.up = False
             await anyio.sleep(0.3)
 
-    async def _answers(self, stream: anyio.abc.SocketStream) -> None:
+    async def _answers(self, stream: anyio.abc.ByteStream) -> None:
         while True:
             await stream.receive()
-            self.heard = time.monotonic()
+            self.heard = self.clock()
 
-    async def _pump(self, stream: anyio.abc.SocketStream) -> None:
+    async def _pump(self, stream: anyio.abc.ByteStream) -> None:
         beat = 0.0
         while True:
             self.wake = anyio.Event()
             batch = self.collect(self.name, self.generation)
-            now = time.monotonic()
+            now = self.clock()
             if now - self.heard > SILENT_S:
                 raise TimeoutError  # a cut without a word: frames go out every second, and the other side answers
             if batch or now - beat > 1.0:
@@ -79,7 +83,7 @@
                 await self.wake.wait()
                 await anyio.sleep(TOGETHER_S)  # what is decided together travels together
 
-    async def _send(self, stream: anyio.abc.SocketStream, value: Any) -> None:
+    async def _send(self, stream: anyio.abc.ByteStream, value: Any) -> None:
         data = cbor2.dumps(value)
         with anyio.fail_after(SILENT_S):
             await stream.send(struct.pack(">I", len(data)) + data)
@@ -88,15 +92,15 @@
 class Listener:
     """The receiving side: checks the greeting, hands every batch on, answers with a byte now and then."""
 
-    def __init__(self, deliver: Callable[[str, list[Any]], None]) -> None:
+    def __init__(self, deliver: Callable[[str, list[Any]], None], net: Net = TCP, clock: Callable[[], float] = time.monotonic) -> None:
         self.deliver = deliver
+        self.net, self.clock = net, clock
 
     async def run(self, host: str, port: int) -> None:
         """Listen until cancelled."""
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        await listener.serve(self._serve)
+        await self.net.serve(host, port, self._serve)
 
-    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+    async def _serve(self, stream: anyio.abc.ByteStream) -> None:
         try:
             async with stream:
                 buf = bytearray()
@@ -109,7 +113,7 @@
                     batch = await self._frame(stream, buf)
                     if isinstance(batch, list) and batch:
                         self.deliver(hello["from"], batch)
-                    now = time.monotonic()
+                    now = self.clock()
                     if not sparse or now - answered > ANSWER_S:
                         # an answer for every frame doubled the packets and the turns of both processes; a release that
                         # waits for each (it sends no "acks") still gets them
@@ -118,7 +122,7 @@
         except (cbor2.CBORDecodeError, ValueError, *_BROKEN):
             pass
 
-    async def _frame(self, stream: anyio.abc.SocketStream, buf: bytearray) -> Any:
+    async def _frame(self, stream: anyio.abc.ByteStream, buf: bytearray) -> Any:
         size = -1
         while True:
             if size < 0 and len(buf) >= 4:
--- /dev/null
+++ b/tests/played.py
@@ -0,0 +1,423 @@
+"""The real composition in virtual time: three controllers with all their parts, over links that each have a state of their own.
+
+Nothing of a controller is left out or replaced: HTTP, the links, the loops run as in `serve`, on an event loop whose clock
+jumps to the next timer, over a network that knows for every directed pair of hosts how their packets fare. The stand-ins
+(tests/standins.py) speak the published protocol; the rules are judged from the workers' side only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import selectors
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from ploverhall import settings
+from ploverhall.bookkeeping.replica import SHARD
+from ploverhall.control.node import Node
+from ploverhall.protocol import jobs
+from ploverhall.seams import Seams
+from ploverhall.transport.http import Client, Reply, Server, Unreachable
+from ploverhall.transport.wire import Request
+
+from . import world
+from .standins import Fleet, State
+
+SILENT, HOLD, RESET, REFUSE, SLOW, LOSSY = "silent", "hold", "reset", "refuse", "slow", "lossy"
+MODES = (SILENT, HOLD, RESET, REFUSE, SLOW, LOSSY)
+START = 1000.0  # the clock's first value: nothing may take 0 for "never"
+
+
+class _Selector(selectors.DefaultSelector):  # type: ignore[valid-type, misc]
+    loop: Loop
+
+    def select(self, timeout: float | None = None) -> Any:
+        found = super().select(0)
+        if not found:
+            if timeout is None:
+                raise RuntimeError("nothing will ever happen again")
+            self.loop.at += max(0.0, timeout)
+        return found
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop that never waits."""
+
+    def __init__(self) -> None:
+        self.at = START
+        selector = _Selector()
+        selector.loop = self
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.at
+
+
+@dataclass(slots=True)
+class Cut:
+    """How packets from one host to another fare, and until when."""
+
+    mode: str
+    until: float
+
+
+class Stream(anyio.abc.ByteStream):
+    """One end of a connection."""
+
+    def __init__(self, net: Network, here: str, there: str) -> None:
+        self.net, self.here, self.there = net, here, there
+        self.buf, self.news = bytearray(), anyio.Event()
+        self.ended = self.broken = self.closed = False
+        self.after = 0.0  # when the last of what was sent arrives: what follows does not overtake it
+        self.other: Stream
+
+    async def send(self, item: bytes) -> None:
+        await anyio.lowlevel.checkpoint()
+        if self.closed:
+            raise anyio.ClosedResourceError
+        if self.broken:
+            raise anyio.BrokenResourceError
+        self.net.carry(self, bytes(item))
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        await anyio.lowlevel.checkpoint()
+        while not self.buf:
+            if self.closed:
+                raise anyio.ClosedResourceError
+            if self.broken:
+                raise anyio.BrokenResourceError
+            if self.ended:
+                raise anyio.EndOfStream
+            self.news = anyio.Event()
+            await self.news.wait()
+        out = bytes(self.buf[:max_bytes])
+        del self.buf[:max_bytes]
+        return out
+
+    async def send_eof(self) -> None:
+        self.net.carry(self, None)
+
+    async def aclose(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.net.carry(self, None)
+            self.news.set()
+
+    def arrive(self, data: bytes | None, silent: bool) -> None:
+        """A packet from the other side: data, or its end."""
+        if silent and self.other.closed:
+            return  # nobody sends it again any more
+        if data is None:
+            self.ended = True
+        else:
+            self.buf += data
+        self.news.set()
+
+    def reset(self) -> None:
+        self.broken = True
+        self.news.set()
+
+
+@dataclass
+class Network:
+    """All hosts' packets, and the state of every directed link."""
+
+    rng: Random
+    clock: Callable[[], float]
+    cuts: dict[tuple[str, str], Cut] = field(default_factory=dict)
+    listeners: dict[tuple[str, int], Callable[[Stream], Awaitable[None]]] = field(default_factory=dict)
+    groups: dict[tuple[str, int], anyio.abc.TaskGroup] = field(default_factory=dict)
+    streams: list[Stream] = field(default_factory=list)
+
+    def of(self, host: str) -> Host:
+        return Host(self, host)
+
+    def cut(self, a: str, b: str, mode: str, s: float, both: bool = True) -> None:
+        """From now on, and for so long, packets from a to b (and back) fare like this."""
+        until = self.clock() + s
+        for src, dst in ((a, b), (b, a))[: 2 if both else 1]:
+            self.cuts[src, dst] = Cut(mode, until)
+            if mode == RESET:
+                for stream in self.streams:
+                    if (stream.here, stream.there) == (src, dst):
+                        stream.reset()
+                        stream.other.reset()
+
+    def state(self, src: str, dst: str) -> Cut | None:
+        cut = self.cuts.get((src, dst))
+        return cut if cut is not None and cut.until > self.clock() else None
+
+    def arrival(self, src: str, dst: str) -> float:
+        """When a packet that leaves now is there."""
+        at, cut = self.clock() + 0.0005 + 0.002 * self.rng.random(), self.state(src, dst)
+        if cut is not None:
+            if cut.mode in (SILENT, HOLD):
+                at = cut.until + 0.002 * self.rng.random()
+            elif cut.mode == SLOW:
+                at += 0.3 + 0.5 * self.rng.random()
+            elif cut.mode == LOSSY and self.rng.random() < 0.3:
+                at += self.rng.choice([0.2, 0.4, 1.2])  # lost, and sent again
+        return at
+
+    def carry(self, stream: Stream, data: bytes | None) -> None:
+        cut = self.state(stream.here, stream.there)
+        if cut is not None and cut.mode == RESET:
+            stream.reset()
+            stream.other.reset()
+            return
+        stream.after = max(stream.after + 1e-6, self.arrival(stream.here, stream.there))
+        silent = cut is not None and cut.mode == SILENT
+        asyncio.get_running_loop().call_at(stream.after, stream.other.arrive, data, silent)
+
+    async def connect(self, src: str, dst: str, port: int) -> Stream:
+        for a, b in ((src, dst), (dst, src)):
+            while True:
+                cut = self.state(a, b)
+                if cut is not None and cut.mode == RESET:
+                    raise ConnectionResetError
+                if cut is not None and cut.mode == REFUSE:
+                    raise ConnectionRefusedError
+                await anyio.sleep(min(1.0, self.arrival(a, b) - self.clock()))
+                if (cut := self.state(a, b)) is None or cut.mode not in (SILENT, HOLD):
+                    break
+        handler, group = self.listeners.get((dst, port)), self.groups.get((dst, port))
+        if handler is None or group is None:
+            raise ConnectionRefusedError
+        here, there = Stream(self, src, dst), Stream(self, dst, src)
+        here.other, there.other = there, here
+        self.streams = [s for s in self.streams if not s.closed]
+        self.streams += [here, there]
+        group.start_soon(handler, there)
+        return here
+
+
+@dataclass
+class Host:
+    """The network as one host has it."""
+
+    net: Network
+    name: str
+
+    async def connect(self, host: str, port: int) -> Any:
+        return await self.net.connect(self.name, host, port)
+
+    async def serve(self, host: str, port: int, handler: Any, backlog: int = 512) -> None:
+        async with anyio.create_task_group() as tg:
+            self.net.listeners[host, port], self.net.groups[host, port] = handler, tg
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self.net.listeners.pop((host, port), None)
+
+
+@dataclass
+class Asked:
+    """One user's job."""
+
+    at: float
+    accepted: float | None = None
+    refusals: int = 0
+
+
+class Played:
+    """Three controllers and everything around them."""
+
+    zones = ("a", "b", "a")
+
+    def __init__(self, seed: int = 1, options: settings.Options | None = None, machines: int = 12, teams: int = 4) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rng = Random(seed)
+        self.net = Network(self.rng, self.loop.time)
+        self.names = [f"c{i}" for i in range(len(self.zones))]
+        self.state = State(self.loop.time)
+        self.refused: set[str] = set()  # whom the state service refuses
+        self.fleet = Fleet({n: (n, 80) for n in self.names}, 9000, self.loop.time, self.net.of, None, 1.0, ("a", "b"), self.rng)
+        self.machines = machines
+        self.options = options
+        self.nodes: dict[str, Node] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.users = {n: Client(n, 80, 2, self.net.of("user"), self.loop.time) for n in self.names}
+        self.teams = {f"team-{i}": settings.Team(f"team-{i}", 0, 0, 4, 16) for i in range(teams)}
+        self.asked: dict[str, Asked] = {}
+        self.cancelled: dict[str, float] = {}
+        self.told_done: set[str] = set()
+        self.broken: list[str] = []
+        self.settled_at = 0.0
+
+    @property
+    def now(self) -> float:
+        return self.loop.time()
+
+    def settings(self, me: str) -> settings.Settings:
+        listen = {n: f"{n}:81" for n in self.names}
+        return settings.parse({
+            "host_name": me, "site": self.zones[self.names.index(me)], "bind": f"{me}:80", "peer_listen": listen[me],
+            "siblings": [{"host_name": n, "site": z, "addr": listen[n]} for n, z in zip(self.names, self.zones, strict=True) if n != me],
+            "external": {"cloud": "cloud:1", "state": f"state:{1 + self.names.index(me)}"},
+            "deployment": {
+                "zones": ["a", "b"],
+                "teams": [{"name": t.name, "cpus": 0, "cpus_max": 0, "gpus": t.gpus, "gpus_max": t.gpus_max} for t in self.teams.values()],
+                "workers": {"report_s": 1.0, "lease_s": world.LEASE, "gang_wait_s": world.GANG_WAIT, "gang_peer_s": world.GANG_PEER,
+                            "cancel_s": world.CANCEL},
+                "state": {"rps": 300.0, "write_rps": 150.0, "value_kb": 4.0, "txn_ops": 8}, "cloud": {"rps": 20.0, "list_lag_s": 0.5},
+                "limits": {"core_share": 1.0, "mem_mb": 200.0, "max_sockets": 500},
+            },
+        }, self.options)  # fmt: skip
+
+    async def start(self, tg: anyio.abc.TaskGroup) -> None:
+        """Everything up, and every part served."""
+        self.fleet.tasks = self.tasks = tg
+        for i, name in enumerate(self.names):
+            tg.start_soon(Server(self._state_for(name), 200, net=self.net.of("state"), clock=self.loop.time).run, "state", 1 + i)
+        tg.start_soon(Server(self.fleet.handle, 100, net=self.net.of("cloud"), clock=self.loop.time).run, "cloud", 1)
+        for name in self.names:
+            self.boot(name)
+        await anyio.sleep(0.1)
+        self.fleet.pleas["at the start"] = [
+            self.fleet.boot({"marsh": "ab"[i % 2], "driftwood": False}) for i in range(self.machines)
+        ]  # fmt: skip
+        tg.start_soon(self._judge)
+        while sum(len(h.owner.machines) for n in self.nodes.values() for h in n.shared.held.values()) < self.machines:
+            await anyio.sleep(0.1)
+        await anyio.sleep(1.0)
+        self.settled_at = self.now
+
+    def _state_for(self, name: str) -> Callable[[Request], Awaitable[Reply]]:
+        async def handle(q: Request) -> Reply:
+            if name in self.refused:
+                return Reply(503, {"error": "trouble"})
+            return await self.state.handle(q)
+
+        return handle
+
+    def boot(self, name: str) -> None:
+        """Start a controller."""
+        self.tasks.start_soon(self._live, name)
+
+    async def _live(self, name: str) -> None:
+        seams = Seams(self.loop.time, lambda: 1.7e9 + self.loop.time(), Random(self.rng.random()), self.net.of(name))
+        node = self.nodes[name] = Node(self.settings(name), seams)
+        with anyio.CancelScope() as self.scopes[name]:
+            await node.run()
+
+    async def crash(self, name: str, s: float) -> None:
+        """End a controller, and start it again later."""
+        self.scopes[name].cancel()
+        await anyio.sleep(s)
+        self.boot(name)
+
+    def workers_of(self, name: str) -> list[str]:
+        """The machines of a controller's own part."""
+        layout = next(iter(self.nodes.values())).shared.layout
+        return [w.name for w in self.fleet.workers.values() if layout.part(w.zone, w.name) == layout.index[name]]
+
+    def cut_workers(self, name: str, mode: str, s: float, both: bool = True) -> None:
+        """A controller loses all workers."""
+        for w in self.fleet.workers:
+            self.net.cut(name, w, mode, s, both)
+
+    def claims(self) -> int:
+        """How often a shard was claimed since everything was up."""
+        return sum(1 for e in self.state.store.log if e.key.startswith(SHARD) and e.value is not None) - len(self.names)
+
+    async def _judge(self) -> None:
+        while True:
+            await anyio.sleep(0.25)
+            try:
+                world.World.judge(self)  # type: ignore[arg-type]
+            except world.Broken as e:
+                self.broken.append(str(e))
+
+    @property
+    def workers(self) -> dict[str, world.Worker]:
+        return self.fleet.workers
+
+    @property
+    def specs(self) -> dict[str, jobs.Job]:
+        return self.fleet.specs
+
+    # -- users ---------------------------------------------------------------------------------
+
+    async def submit(self, spec: dict[str, Any], to: str | None = None) -> None:
+        """A user submits until it is accepted, at any controller that takes it."""
+        asked = self.asked[spec["id"]] = Asked(self.now)
+        self.fleet.specs[spec["id"]] = jobs.parse(spec, 0.0)
+        while asked.accepted is None and self.now - asked.at < 60.0:
+            name = to or self.rng.choice(self.names)
+            try:
+                status, _ = await self.users[name].call("POST", "/api/jobs", spec, 5.0)
+            except Unreachable:
+                status = 0
+            if status in (200, 201):
+                asked.accepted = self.now
+                return
+            asked.refusals += 1
+            await anyio.sleep(1.0)
+
+    async def withdraw(self, jid: str) -> None:
+        """A user cancels until told so."""
+        while True:
+            try:
+                status, answer = await self.users[self.rng.choice(self.names)].call("POST", f"/api/jobs/{jid}/withdraw", {}, 5.0)
+            except Unreachable:
+                status, answer = 0, None
+            if status == 200 and isinstance(answer, dict):
+                if answer["stance"] == "withdrawn":
+                    self.cancelled[jid] = self.now
+                return
+            await anyio.sleep(1.0)
+
+    async def flow(self, s: float, every: float = 1.0, first: int = 1) -> None:
+        """Jobs of all kinds, for so long: replicas that stay, arrays and gangs that come and go."""
+        until, n = self.now + s, first
+        while self.now < until:
+            self.tasks.start_soon(self.submit, self.spec(n))
+            n += 1
+            await anyio.sleep(every * (0.5 + self.rng.random()))
+
+    def spec(self, n: int, **kw: Any) -> dict[str, Any]:
+        """One job, drawn."""
+        gait = kw.pop("gait", None) or self.rng.choice(["array", "array", "group"])
+        return {
+            "id": f"j-{n:06d}", "flock": gait, "keeper": f"team-{n % len(self.teams)}", "gait": gait, "rank": "normal",
+            "chicks": self.rng.choice([1, 2, 3]) if gait == "array" else 2, "cores": 1.0, "gpus": 1.0, "ramGb": 1.0, "plumage": "i",
+            "pullGb": 0.1, "breeds": None, "marsh": None, "together": False, "scatter": False, "driftwood": False,
+            "flightS": self.rng.choice([1.0, 3.0]), "nestS": 0.0, "tuckS": 0.0, "duskS": None, **kw,
+        }  # fmt: skip
+
+    def longest_pause(self, since: float, until: float) -> float:
+        """The longest time in which nothing started."""
+        at = [since, *(t for t in self.fleet.started_at if since <= t <= until), until]
+        return max(b - a for a, b in zip(at, at[1:], strict=False))
+
+    def slowest_accepted(self) -> float:
+        """Seconds from a submission's first attempt to its acceptance, at most."""
+        return max((a.accepted or 1e9) - a.at for a in self.asked.values())
+
+    def check(self) -> None:
+        """No rule was broken."""
+        assert not (self.broken + self.fleet.broken), (self.broken + self.fleet.broken)[:3]
+
+
+def play(scene: Callable[[Played], Awaitable[None]], seed: int = 1, **kw: Any) -> Played:
+    """Run a scene in virtual time; the rules are judged all along."""
+    out: list[Played] = []
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+
+    async def main() -> None:
+        p = Played(seed, **kw)
+        out.append(p)
+        async with anyio.create_task_group() as tg:
+            await p.start(tg)
+            await scene(p)
+            tg.cancel_scope.cancel()
+
+    anyio.run(main, backend_options={"loop_factory": Loop})
+    out[0].check()
+    return out[0]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,8 +1,12 @@
-"""Stand-ins on loopback sockets that speak the published protocol: state service, cloud, workers."""
+"""Stand-ins that speak the published protocol over whatever network they are given: state service, cloud, workers.
+
+On loopback sockets in real time (test_loopback), and in virtual time over links that can be cut (played).
+"""
 
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -11,6 +15,7 @@
 
 from ploverhall.protocol.jobs import Job
 from ploverhall.transport.http import Client, Reply, Server, Unreachable
+from ploverhall.transport.net import TCP, Net
 from ploverhall.transport.wire import Request
 
 from . import world
@@ -19,14 +24,15 @@
 class State:
     """The state service."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
         self.store = world.Store()
         self.leases: dict[int, tuple[float, float]] = {}
         self.tied: dict[str, int] = {}
         self.down = False
 
     def expire(self) -> None:
-        now = time.monotonic()
+        now = self.clock()
         for lease in [x for x, (_, end) in self.leases.items() if end < now]:
             del self.leases[lease]
             gone = [k for k, x in self.tied.items() if x == lease]
@@ -64,10 +70,10 @@
             value, rev = s.kv[q.path[4:]]
             return Reply(200, {"path": q.path[4:], "v": value, "feather": rev})
         if q.path == "/watch":
-            since, until = int(q.query["from"]), time.monotonic() + int(q.query.get("holdMs", 0)) / 1000
+            since, until = int(q.query["from"]), self.clock() + int(q.query.get("holdMs", 0)) / 1000
             while True:
                 news = [e for e in s.log if e.version > since and e.key.startswith(q.query["starts"])]
-                if news or time.monotonic() >= until:
+                if news or self.clock() >= until:
                     break
                 await anyio.sleep(0.01)
                 self.expire()
@@ -77,49 +83,58 @@
         if q.path == "/grants":
             ttl = orjson.loads(q.body)["lifeMs"] / 1000
             lease = len(self.leases) + 1 + s.rev * 100
-            self.leases[lease] = (ttl, time.monotonic() + ttl)
+            self.leases[lease] = (ttl, self.clock() + ttl)
             return Reply(200, {"tether": lease})
         if q.path.startswith("/grants/"):
             lease = int(q.path.split("/")[2])
             if lease not in self.leases:
                 return Reply(404, {})
-            self.leases[lease] = (self.leases[lease][0], time.monotonic() + self.leases[lease][0])
+            self.leases[lease] = (self.leases[lease][0], self.clock() + self.leases[lease][0])
             return Reply(200, {})
         return Reply(404, {"moult": s.rev})
 
 
 class Fleet:
-    """The cloud, with workers that boot at once and report to the controllers."""
+    """The cloud, with workers that boot at once and report to the controllers as the protocol has it."""
 
-    def __init__(self, controllers: list[tuple[str, int]], ports: int) -> None:
+    def __init__(self, controllers: dict[str, tuple[str, int]], ports: int, clock: Callable[[], float] = time.monotonic,
+                 net: Callable[[str], Net] = lambda host: TCP, host: str | None = "127.0.0.1", every: float = 0.1,
+                 zones: tuple[str, ...] = ("a",), rng: Random | None = None) -> None:
         self.controllers = controllers
         self.next_port = ports
-        self.now = time.monotonic()
-        self.rng = Random(1)
-        self.nodes = controllers
+        self.clock, self.net, self.host, self.every, self.zones = clock, net, host, every, zones
+        self.rng = rng or Random(1)
+        self.nodes = list(controllers)
         self.specs: dict[str, Job] = {}
         self.results: set[tuple[str, int]] = set()
         self.machines: dict[str, tuple[world.Worker, dict[str, Any], anyio.CancelScope]] = {}
         self.pleas: dict[str, list[str]] = {}
         self.starts = 0
+        self.started_at: list[float] = []
+        self.killed_by_lease = 0
         self.broken: list[str] = []
         self.tasks: Any = None
 
+    @property
+    def now(self) -> float:
+        return self.clock()
+
     @property
     def workers(self) -> dict[str, world.Worker]:
         return {n: w for n, (w, _, _) in self.machines.items()}
 
     def started(self, w: world.Worker, key: Any) -> None:
-        self.starts += 1
-        for other, _, _ in self.machines.values():
-            if other is not w and any(k[:2] == key[:2] for k in other.on_machine()):
-                self.broken.append(f"ran_twice {key}")
+        self.started_at.append(self.now)
+        try:
+            world.World.started(self, w, key)  # type: ignore[arg-type]
+        except world.Broken as e:
+            self.broken.append(str(e))
 
     async def handle(self, q: Request) -> Reply:
         if q.path == "/flavors":
             return Reply(200, {"breeds": [{
                 "name": "t", "cores": 16, "gpus": 4, "ramGb": 128, "localGb": 60, "pullGbPerS": 1.0, "price": 10.0,
-                "lowPrice": 3.0, "startupS": 1, "marshes": ["a"]}]})  # fmt: skip
+                "lowPrice": 3.0, "startupS": 1, "marshes": list(self.zones)}]})  # fmt: skip
         if q.path == "/hosts" and q.method == "GET":
             items = [m for _, m, _ in self.machines.values()]
             return Reply(200, {"perches": [m for m in items if m["id"] > q.query.get("from", "")], "hasNext": False})
@@ -137,37 +152,60 @@
         name, port = f"n-{len(self.pleas):03d}{self.next_port}", self.next_port
         self.next_port += 1
         w = world.Worker(self, name, body["marsh"], body["driftwood"])  # type: ignore[arg-type]
-        listed = {"id": name, "endpoint": f"127.0.0.1:{port}", "breed": "t", "marsh": body["marsh"],
+        at = f"{self.host or name}:{port}"
+        listed = {"id": name, "endpoint": at, "breed": "t", "marsh": body["marsh"],
                   "driftwood": body["driftwood"], "stance": "running", "heldS": 1.0}  # fmt: skip
         scope = anyio.CancelScope()
         self.machines[name] = (w, listed, scope)
-        self.tasks.start_soon(self.live, w, port, scope)
+        self.tasks.start_soon(self.live, w, port, at, scope)
         return name
 
-    async def live(self, w: world.Worker, port: int, scope: anyio.CancelScope) -> None:
+    def tick(self, w: world.Worker) -> None:
+        session, tasks = w.session, len(w.tasks)
+        w.tick()
+        if w.session != session:
+            self.killed_by_lease += tasks
+
+    async def live(self, w: world.Worker, port: int, at: str, scope: anyio.CancelScope) -> None:
+        net = self.net(self.host or w.name)
+
         async def do(q: Request) -> Reply:
-            self.now = time.monotonic()
             before = w.token
             body = orjson.loads(q.body)
             report = w.on_do(body)
-            return Reply(200 if body["crest"] >= before and body["tide"] == w.session else 409, {**report, "endpoint": f"127.0.0.1:{port}"})
+            return Reply(200 if body["crest"] >= before and body["tide"] == w.session else 409, {**report, "endpoint": at})
 
         with scope:
             async with anyio.create_task_group() as tg:
-                tg.start_soon(Server(do, 10).run, "127.0.0.1", port)
-                clients = [Client(*c, keep=1) for c in self.controllers]
+                tg.start_soon(Server(do, 10, net=net, clock=self.clock).run, self.host or w.name, port)
+                names = list(self.controllers)
+                clients = [Client(*self.controllers[n], keep=1, net=net, clock=self.clock) for n in names]
+                tg.start_soon(self._ticks, w)
                 while True:
-                    await anyio.sleep(0.1)
-                    self.now = time.monotonic()
-                    w.tick()
-                    world.World.gangs(self)  # type: ignore[arg-type]
-                    body, sent, session = {**w.report(), "endpoint": f"127.0.0.1:{port}"}, self.now, w.session
+                    body, sent, session = {**w.report(), "endpoint": at}, self.now, w.session
+                    listed = [dict(t) for t in w.tasks.values()]
                     try:
                         status, answer = await clients[w.home].call("POST", "/v1/report", body, 4.0)
                     except Unreachable:
                         status, answer = 0, None
-                    self.now = time.monotonic()
                     if status == 200 and isinstance(answer, dict):
                         w.on_answer(answer, sent, session)
+                    elif status == 421 and isinstance(answer, dict) and answer.get("homing") in names and answer["homing"] != names[w.home]:
+                        w.home = names.index(answer["homing"])
+                        await anyio.sleep(0.5 * self.rng.random() * min(1.0, self.every))
+                        continue
                     else:
                         w.home = (w.home + 1) % len(clients)
+                        await anyio.sleep(min(1.0, 5 * self.every))
+                        continue
+                    due = self.now + self.every * (0.75 + 0.5 * self.rng.random())
+                    soon = self.now + min(0.5, self.every)
+                    while self.now < due and not (self.now >= soon and [dict(t) for t in w.tasks.values()] != listed):
+                        await anyio.sleep(min(0.1, self.every))
+
+    async def _ticks(self, w: world.Worker) -> None:
+        while True:
+            await anyio.sleep(min(0.1, self.every))
+            self.tick(w)
+            if w is next(iter(self.workers.values()), None):
+                world.World.gangs(self)  # type: ignore[arg-type]
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -84,7 +84,7 @@
 async def running(options: settings.Options | None = None) -> AsyncIterator[Place]:
     ports = free_ports(40)
     s = settings.parse(config(ports), options)
-    at = Place(s, State(), Fleet([s.bind], max(ports) + 1), Client(*s.bind))
+    at = Place(s, State(), Fleet({"c0": s.bind}, max(ports) + 1), Client(*s.bind))
     async with anyio.create_task_group() as tg:
         at.fleet.tasks = tg
         tg.start_soon(Server(at.state.handle, 100).run, *s.state)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,8 @@
 
 from ploverhall import settings
 from ploverhall.bookkeeping.replica import NODE, SHARD, Ended, cell_prefix
-from ploverhall.control.node import Held, Node
+from ploverhall.control.node import Node
+from ploverhall.control.shared import Held
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.source import Source
 from ploverhall.protocol import peers
@@ -31,16 +32,16 @@
     async def play() -> None:
         node = a_node()
         s = node.settings
-        owner = Owner(1, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0)
-        node.held[1] = Held(1, 7, owner)
-        node.replica.keys[f"{SHARD}1"] = ({"node": "c0"}, 7)
+        owner = Owner(1, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.shared.rng, 0.0)
+        node.shared.held[1] = Held(1, 7, owner)
+        node.shared.replica.keys[f"{SHARD}1"] = ({"node": "c0"}, 7)
         await node.membership.check(1, 10.0)
-        assert 1 in node.held
-        node.replica.keys[NODE + "c1"] = ({}, 9)
+        assert 1 in node.shared.held
+        node.shared.replica.keys[NODE + "c1"] = ({}, 9)
         await node.membership.check(1, 11.0)
-        node.peer_news["c1"] = (12.0, NodeNews(0.0, {}, {}))
+        node.hearing.peer_news["c1"] = (12.0, NodeNews(0.0, {}, {}))
         await node.membership.check(1, 12.0)
-        assert 1 in node.held, "its home is back, but not steady yet"
+        assert 1 in node.shared.held, "its home is back, but not steady yet"
 
     anyio.run(play)
 
@@ -59,7 +60,7 @@
         assert not member.isolated(early) and member.isolated(100.0 + st.options.cut_off_s)
         member.granted = 101.0
         assert member.isolated(early), "it has not read yet what came before its promise"
-        node.peer_news["c1"] = (119.5, NodeNews(60.0, {}, {}))
+        node.hearing.peer_news["c1"] = (119.5, NodeNews(60.0, {}, {}))
         assert not member.isolated(120.0), "an outage that every controller confirms: nobody can cancel"
 
     anyio.run(play)
@@ -69,11 +70,11 @@
     async def play() -> None:
         node = a_node()
         s = node.settings
-        node.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0))
-        node.deliver("c1", [["n", 1, 0, 0, True, [0.0, {0: 6}, {}], 0]])
-        assert 0 in node.held
-        node.deliver("c1", [["n", 1, 0, 0, True, [0.0, {0: 8}, {}], 0]])
-        assert 0 not in node.held
+        node.shared.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.shared.rng, 0.0))
+        node.links.deliver("c1", [["n", 1, 0, 0, True, [0.0, {0: 6}, {}], 0]])
+        assert 0 in node.shared.held
+        node.links.deliver("c1", [["n", 1, 0, 0, True, [0.0, {0: 8}, {}], 0]])
+        assert 0 not in node.shared.held
 
     anyio.run(play)
 
@@ -85,8 +86,8 @@
     async def play() -> None:
         node = a_node()
         s = node.settings
-        held = node.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.rng, 0.0))
-        team = node.layout.teams(0)[0]
+        held = node.shared.held[0] = Held(0, 7, Owner(0, 7, 2, s.lease_s, s.report_s, 5.0, 5, node.shared.rng, 0.0))
+        team = node.shared.layout.teams(0)[0]
 
         async def read(prefix: str) -> dict[str, Any]:
             entry = [3, 11, "n-1", 1, "a", 5, 2]
@@ -96,9 +97,9 @@
             return True
 
         async def first_write(held: Held, source: Source) -> None:
-            sent.extend(node.outbox.collect("c1", 1, lambda shard: "c1"))  # the link may be quicker than the engine
+            sent.extend(node.shared.outbox.collect("c1", 1, lambda shard: "c1"))  # the link may be quicker than the engine
 
-        node.writing._read, node.following.current, node.writing._writer = read, current, first_write  # type: ignore[method-assign]
+        node.writing._read, node.writing.current, node.writing._writer = read, current, first_write  # type: ignore[method-assign]
         await node.writing.source(held)
 
     anyio.run(play)
@@ -111,14 +112,14 @@
     node = a_node()
     own = node.settings.state_write_rps * 0.92 / 2
     now = time.monotonic()
-    node.share(now)
-    assert node.store.writes.rate == own, "a controller that can't be heard may be writing"
-    node.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, 0.0))
-    node.share(now)
-    assert own < node.store.writes.rate < 2 * own
-    node.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, own + 5.0))
-    node.share(now)
-    assert node.store.writes.rate == own
+    node.hearing.share(now)
+    assert node.shared.store.writes.rate == own, "a controller that can't be heard may be writing"
+    node.hearing.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, 0.0))
+    node.hearing.share(now)
+    assert own < node.shared.store.writes.rate < 2 * own
+    node.hearing.peer_news["c1"] = (now, NodeNews(0.0, {}, {}, own + 5.0))
+    node.hearing.share(now)
+    assert node.shared.store.writes.rate == own
 
 
 def test_small_changes_do_not_keep_a_larger_one_waiting_and_who_is_patient_stands_aside() -> None:
@@ -153,7 +154,7 @@
     async def play() -> None:
         node = a_node()
         member, written = node.membership, []
-        member.lease, node.cancelled_rev = 7, 5
+        member.lease, node.shared.cancelled_rev = 7, 5
 
         async def renew(lease: int) -> bool:
             member.lease = None
@@ -167,7 +168,7 @@
             await anyio.sleep(60.0)
             return 8
 
-        node.store.renew, node.store.txn, node.store.grant = renew, txn, grant  # type: ignore[method-assign]
+        node.shared.store.renew, node.shared.store.txn, node.shared.store.grant = renew, txn, grant  # type: ignore[method-assign]
         with anyio.move_on_after(0.05):
             await member.lease_loop()
         assert written == [(7, True)]
@@ -180,8 +181,8 @@
 
     async def play() -> None:
         node = a_node()
-        node.replica.ended["j-000001"] = Ended("done", 3, 9)
-        node.replica.ended["j-000002"] = Ended("withdrawn", 0, 9)
+        node.shared.replica.ended["j-000001"] = Ended("done", 3, 9)
+        node.shared.replica.ended["j-000002"] = Ended("withdrawn", 0, 9)
         with anyio.fail_after(0.5):
             assert (await node.requests.withdraw("j-000001")).status == 200
         assert (await node.requests.poll("j-000002")).status == 503, "nobody has read of it yet"
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -9,7 +9,8 @@
 import orjson
 
 from ploverhall import settings, status
-from ploverhall.control.node import Held, Node
+from ploverhall.control.node import Node
+from ploverhall.control.shared import Held
 from ploverhall.coordination.owner import Owner
 from ploverhall.protocol import peers
 from ploverhall.protocol.peers import StartNews
@@ -32,12 +33,12 @@
 
 def hold(node: Node, shard: int) -> Held:
     s = node.settings
-    owner = Owner(shard, 7, 3, s.lease_s, s.report_s, 5.0, 5, node.rng, time.monotonic())
+    owner = Owner(shard, 7, 3, s.lease_s, s.report_s, 5.0, 5, node.shared.rng, time.monotonic())
 
     async def make() -> Held:
         return Held(shard, 7, owner, source(30.0))
 
-    held = node.held[shard] = anyio.run(make)
+    held = node.shared.held[shard] = anyio.run(make)
     return held
 
 
@@ -51,7 +52,7 @@
 def ask(a: Node, b: Node, chosen: dict[str, str]) -> Any:
     async def run() -> Any:
         out: list[Any] = []
-        for link in a.links:
+        for link in a.links.links.values():
             link.up = link.name == b.settings.name
 
         async def asking() -> None:
@@ -75,7 +76,7 @@
     play(held.source, 20, lambda job, task, machine, now: "error")
     held.source.on_job(a_job("j-000002", kind="gang", n=3, klass="g"), "j-000002", 6, time.monotonic() - 300.0)
     hold(c, 2)
-    a.telling.views["c2"] = (time.monotonic() - 34.0, status.view(c))
+    a.telling.views["c2"] = (time.monotonic() - 34.0, c.view.of())
     data = ask(a, b, {})
     lines = status.text(data, {})
     assert lines[0].startswith("wrong now:")
@@ -98,7 +99,7 @@
         if i < 400:
             failed_on(held.owner, f"j-{i}", f"n-{i}", i + 1)
             failed_on(held.owner, f"k-{i}", f"n-{i}", i + 2)
-    view = status.view(node)
+    view = node.view.of()
     assert len(orjson.dumps(view)) < 40_000 and view["left_out"] > 2900
     assert sum(jobs for jobs, _ in view["queue"].values()) == 3000
 
@@ -109,10 +110,10 @@
     assert held.source is not None
     held.source.on_job(a_job("j-000001", n=4), "j-000001", 5, 0.0)
     play(held.source, 5, lambda job, task, machine, now: "error")
-    before = status.troubles(status.view(node))
+    before = status.troubles(node.view.of())
     assert "broken j-000001" in before
     play(held.source, 60, lambda job, task, machine, now: "done", first=60)
-    after = status.troubles(status.view(node))
+    after = status.troubles(node.view.of())
     assert "broken j-000001" not in after and set(after) <= set(before)
 
 
