Machines taken out of service by order, within a budget of disruption for each team

The renter picks machines whose work has room elsewhere and rents that room first; owners cordon them and ask; the team's source grants stops within the team's budget (replicas down whatever the cause, floor, gangs and lost work a minute, hours of quiet; default, teams, classes, jobs as JSON with a schema) and stops what is granted once the grant is written, guarded on the shard's epoch and its own version, so that a new source counts and carries out what was granted. An order that is paused or stopped leaves what has not gone back in service. None is taken while a member doesn't know them.

--- a/ploverhall/bookkeeping/replica.py
+++ b/ploverhall/bookkeeping/replica.py
@@ -30,6 +30,11 @@
     return f"d/{_plain(team)}/"
 
 
+def grants_key(team: str) -> str:
+    """Where the stops by choice are kept that a team's source has granted."""
+    return f"u/{_plain(team)}"
+
+
 def _plain(name: str) -> str:
     """Key-safe and injective: the state service's keys hold no spaces and 200 bytes at most."""
     out = "".join(c if c.isalnum() and c.isascii() or c in "-_." else f"%{ord(c):x}," for c in name)
--- a/ploverhall/cli.py
+++ b/ploverhall/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, status."""
+"""The command line: serve, check-config, status, drain, upkeep."""
 
 from __future__ import annotations
 
@@ -23,7 +23,26 @@
     c.add_argument("--team", help="only this team's jobs")
     c.add_argument("--machine", help="only this machine, and the jobs with tasks on it")
     c.add_argument("--json", action="store_true", help="as JSON")
+    c = sub.add_parser("drain", help="take machines out of service: empty them within the teams' budgets, and give them back")
+    c.add_argument("address", help="HOST:PORT of a running controller")
+    c.add_argument("--machine", action="append", help="this machine; may be repeated")
+    c.add_argument("--zone", help="all machines of a zone; nothing is rented there while the order holds")
+    c.add_argument("--type", help="all machines of a type")
+    c.add_argument("--kind", choices=("spot", "ordinary"), help="only cheap or only ordinary ones")
+    c.add_argument("--part", type=int, help="all machines of a controller's part")
+    c.add_argument("--at-once", type=int, default=4, help="machines being emptied at the same time (4)")
+    c.add_argument("--note", help="why, for those who look")
+    c.add_argument("--id", help="name of the order, u-...; the same one is placed once (drawn if not given)")
+    c.add_argument("--dry-run", action="store_true", help="only say what it would be about")
+    c = sub.add_parser("upkeep", help="orders: list, show, pause, resume, stop")
+    c.add_argument("verb", choices=("list", "show", "pause", "resume", "stop"))
+    c.add_argument("address", help="HOST:PORT of a running controller")
+    c.add_argument("id", nargs="?", help="of an order")
     args = p.parse_args(argv)
+    if args.command in ("drain", "upkeep"):
+        from ploverhall.upkeep import command
+
+        return command.drain(args) if args.command == "drain" else command.upkeep(args)
     if args.command == "status":
         from ploverhall.status import show
 
--- a/ploverhall/control/engine.py
+++ b/ploverhall/control/engine.py
@@ -89,7 +89,8 @@
             self.shared.outbox.board("o", held.shard, src, held.epoch).put(key, value)
         if source is not None:
             source.decide(now)
-            if source.dirty_chunks or source.ending:
+            source.grant(now, self.shared.wall())
+            if source.dirty_chunks or source.ending or source.dirty_grants:
                 held.wake.set()
             self.routing.tell_owners(held, source, now)
 
@@ -109,6 +110,8 @@
             for part in shards:
                 b = outbox.board("r", boards.RENTER, part, renter.epoch)
                 b.put("drain", renter.drains(part))
+                if renter.looked:
+                    b.put("empty", renter.emptying(part))
                 b.put("gone", sorted(renter.gone)[-300:])
 
     def short(self) -> dict[str, float]:
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -24,6 +24,7 @@
 from ploverhall.protocol.state import Refused, Unknown
 from ploverhall.reach.moves import Moves
 from ploverhall.reach.ways import Ways
+from ploverhall.upkeep import orders
 
 TAKE_AGAIN_S = 10.0  # a shard that is taken from a live holder and lost again is left alone for this long
 
@@ -115,7 +116,7 @@
         Tethered to that lease: without one it would outlive the process, and be taken for it for ever.
         """
         key, seen = NODE + self.shared.settings.name, self.shared.replica.rev
-        value = {"zone": self.shared.settings.zone, "can": [CAN], "seen": seen}
+        value = {"zone": self.shared.settings.zone, "can": [CAN, orders.CAN], "seen": seen}
         _, failed = await self.shared.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
         if not failed:
             self.shown = seen
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -22,6 +22,7 @@
 from ploverhall.control.routing import Routing
 from ploverhall.control.shared import SHARE, Held, Shared
 from ploverhall.control.telling import Telling
+from ploverhall.control.upkeep import Upkeep
 from ploverhall.control.view import View
 from ploverhall.control.wire import Wire
 from ploverhall.control.workers import Workers
@@ -80,7 +81,7 @@
         )  # fmt: skip
         self.requests = Requests(
             shared, self.hearing, self.routing, self.following, self.membership, self.telling, self.news,
-            self.ways, self.carrying, self.workers,
+            self.ways, self.carrying, self.workers, Upkeep(shared, self.following, self.telling, self.news),
         )  # fmt: skip
         self.carrying.reached, self.carrying.late = self._reached, lambda: self.engine.late
         self.carrying.handlers = {
--- a/ploverhall/control/renting.py
+++ b/ploverhall/control/renting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 import anyio.abc
@@ -21,6 +22,7 @@
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.state import Refused, Unknown
 from ploverhall.transport.http import Caller, Unreachable
+from ploverhall.upkeep import orders
 
 
 class Renting:
@@ -78,6 +80,8 @@
                     await self._list(renter, now)
                 if now - last_plan > 1.0:
                     last_plan = now
+                    renter.orders = [o for o in orders.all_of(self.shared.replica.keys) if not o.over]
+                    await self._finish(renter, now)
                     plan = renter.plan(now, self.shared.wall())
                     if not pending:
                         pending += [(renter.plea(), r) for r in plan.rent]
@@ -124,6 +128,20 @@
         self.shared.poke()
         return True
 
+    async def _finish(self, renter: Renter, now: float) -> None:
+        """Write which orders are done, one a round, and forget those that were over long ago."""
+        wall = self.shared.wall()
+        over = [o for o in orders.all_of(self.shared.replica.keys) if o.over and wall - o.at > orders.KEPT_S]
+        try:
+            for o in renter.finished(now)[:1]:
+                done = replace(o, state=orders.DONE, at=wall)
+                await self.shared.store.txn({orders.ORDER + o.id: o.version}, {orders.ORDER + o.id: done.record()}, [])
+                log.info("order done", order=o.id)
+            for o in over[:1]:
+                await self.shared.store.txn({orders.ORDER + o.id: o.version}, {}, [orders.ORDER + o.id])
+        except (Refused, Unknown):
+            pass  # the next round looks again at what is there
+
     async def _store_types(self, types: dict[str, MachineType]) -> None:
         """Keep the machine types for starts while the cloud is down."""
         stored = self.shared.replica.types()
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -24,6 +24,7 @@
 from ploverhall.control.routing import Routing
 from ploverhall.control.shared import Held, Shared
 from ploverhall.control.telling import Telling
+from ploverhall.control.upkeep import Upkeep
 from ploverhall.control.workers import Workers
 from ploverhall.coordination.fleet import Machine, fits
 from ploverhall.coordination.owner import TOKEN_BITS
@@ -48,9 +49,9 @@
     """What users, workers and the load balancer ask."""
 
     def __init__(self, shared: Shared, hearing: Hearing, routing: Routing, following: Following, membership: Membership, telling: Telling,
-                 news: Callable[[], None], ways: Ways, carrying: Carrying, links: Workers) -> None:
+                 news: Callable[[], None], ways: Ways, carrying: Carrying, links: Workers, upkeep: Upkeep) -> None:
         self.shared, self.hearing, self.routing, self.telling = shared, hearing, routing, telling
-        self.ways, self.carrying, self.workers = ways, carrying, links
+        self.ways, self.carrying, self.workers, self.upkeep = ways, carrying, links, upkeep
         self.following, self.membership, self.news = following, membership, news
         self.storing = 0  # submissions that wait to be written
 
@@ -73,6 +74,8 @@
                 chosen = {k: v for k, v in q.query.items() if k in ("job", "team", "machine") and v}
                 told = self.state_of(chosen["job"]) if "job" in chosen else None
                 return Reply(200, {**await self.telling.answer(chosen), "told": told})
+            if q.path == "/upkeep" or q.path.startswith("/upkeep/"):
+                return await self.upkeep.handle(q)
             return Reply(404, {"error": "no such path"})
         except Exception as e:
             log.error("request failed", path=q.path, error=repr(e), at=where(e))
--- a/ploverhall/control/routing.py
+++ b/ploverhall/control/routing.py
@@ -87,6 +87,8 @@
         elif kind == "r":
             state = shared.inbox.boards[kind, src, dst][1] if (kind, src, dst) in shared.inbox.boards else changes
             held.owner.set_drain(state.get("drain") or [])
+            if "empty" in state:  # a renter that has just begun does not know yet which machines were being emptied
+                held.owner.set_empty(state["empty"])
             held.owner.machine_gone(state.get("gone") or [])
 
     def replay(self, role: int, kinds: tuple[str, ...]) -> None:
--- a/ploverhall/control/view.py
+++ b/ploverhall/control/view.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from ploverhall.control.hearing import Hearing
-from ploverhall.control.shared import Shared
+from ploverhall.control.shared import Held, Shared
 from ploverhall.coordination.ledger import JobState
 from ploverhall.coordination.source import Source
 from ploverhall.status import LATELY_S, MOST, MOST_TASKS
+from ploverhall.upkeep import orders
 
 
 class View:
@@ -32,12 +35,15 @@
             "stood_still": [round(now - shared.stood_at, 1), round(shared.stood_s, 1)] if now - shared.stood_at < LATELY_S else None,
             "quiet_s": {str(k): round(v, 1) for k, v in self.hearing.quiet_for(now).items()},
             "renter": shared.renter is not None, "late": shared.renter.late(now)[:MOST] if shared.renter is not None else [],
+            "orders": shared.renter.progress() if shared.renter is not None else {}, "would": {}, "asked": {},
             "teams": {}, "queue": {}, "jobs": [], "machines": {}, "trouble_machines": [], "died": [], "ended": [], "left_out": 0,
         }  # fmt: skip
         jobs: list[tuple[Any, str, Source, JobState, str]] = []
         for h in shared.held.values():
             if h.source is not None:
                 _teams(out, h.source)
+                for why in h.source.refusals.values():
+                    out["asked"][why] = out["asked"].get(why, 0) + 1
                 for js in h.source.jobs.values():
                     if chosen and not _chosen(js, chosen):
                         continue
@@ -54,6 +60,8 @@
                 for e in h.source.ends:
                     if not chosen or chosen.get("job") == e.job or chosen.get("team") == e.team:
                         out["ended"].append([round(now - e.at, 1), *e[1:]])
+            if chosen and "would" in chosen:
+                _would(out["would"], h, chosen["would"])
             for m in h.owner.machines.values():
                 state = "silent" if m.expired or now - m.last_report > 2 * s.report_s + 1.5 else (
                     "leaving" if m.notice_s is not None else "not trusted" if m.faulty_until > now else "draining" if m.draining else "up")
@@ -75,6 +83,22 @@
         return out
 
 
+def _would(out: dict[str, Any], held: Held, text: str) -> None:
+    """What an order would be about in a shard: machines, and by team the tasks on them by kind."""
+    try:
+        order = orders.parse("u-0", orjson.loads(text))
+    except (orders.Malformed, orjson.JSONDecodeError):
+        return
+    for m in held.owner.machines.values():
+        if order.matches(m.name, m.place, held.shard):
+            out["machines"] = out.get("machines", 0) + 1
+            for key, p in m.permits.items():
+                info = held.owner.fleet.info.get(key[0])
+                if info is not None and not p.gone and not p.refused:
+                    kinds = out.setdefault("teams", {}).setdefault(info.team, {})
+                    kinds[info.kind] = kinds.get(info.kind, 0) + 1
+
+
 def _chosen(js: JobState, chosen: dict[str, str]) -> bool:
     machine = chosen.get("machine")
     return (
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -20,6 +20,7 @@
     Ended,
     cell_prefix,
     end_record,
+    grants_key,
     progress_prefix,
 )  # fmt: skip
 from ploverhall.control.routing import Routing
@@ -27,6 +28,7 @@
 from ploverhall.coordination.ledger import Txn
 from ploverhall.coordination.source import Source
 from ploverhall.protocol.state import Refused, Unknown
+from ploverhall.upkeep.budget import Rules
 
 IMAGES_EVERY_S = 4.0
 ARCHIVE_EVERY_S = 1.0
@@ -40,6 +42,7 @@
                  may_tell: Callable[[Ended], bool], deposed: Callable[[int], None]) -> None:
         self.shared, self.routing = shared, routing
         self.current, self.news, self.may_tell = current, news, may_tell
+        self.rules = Rules(shared.settings.options.budget)
         self.deposed = deposed  # a write was refused because another controller holds the shard
 
     async def source(self, held: Held) -> None:
@@ -48,12 +51,14 @@
         teams = [self.shared.teams[t] for t in self.shared.layout.teams(held.shard)]
         with held.scope:
             source = Source(held.shard, held.epoch, teams, s.zones, s.value_bytes, s.txn_ops)
-            source.note, source.report = log.debug, log.info
+            source.note, source.report, source.rules = log.debug, log.info, self.rules
             cells: dict[str, Any] = {}
             progress: dict[str, Any] = {}
+            grants: dict[str, tuple[Any, int]] = {}
             for t in teams:
                 cells[t.name] = await self._read(cell_prefix(t.name))
                 progress[t.name] = await self._read(progress_prefix(t.name))
+                grants[t.name] = await self._read_one(grants_key(t.name))
             while not await self.current():
                 await anyio.sleep(0.2)
             now = self.shared.clock()
@@ -63,6 +68,7 @@
             for t in teams:
                 source.install_cell(t.name, cells[t.name], now)
                 source.install_progress(t.name, progress[t.name])
+                source.install_grants(t.name, *grants[t.name])
             held.source = source
             self.routing.tell_owners(held, source, now)
             self.routing.replay(held.shard, ("o",))  # it may not have known the starts that this was about
@@ -77,6 +83,13 @@
             except (Refused, Unknown):
                 await anyio.sleep(0.2)
 
+    async def _read_one(self, key: str) -> tuple[Any, int]:
+        while True:
+            try:
+                return await self.shared.store.get(key)
+            except (Refused, Unknown):
+                await anyio.sleep(0.2)
+
     async def images(self, held: Held) -> None:
         """Learn which images the part's machines hold, and keep it for the next owner."""
         fleet, prefix = held.owner.fleet, images.prefix(held.shard)
@@ -166,6 +179,8 @@
         for team in teams:
             found = await self._read(cell_prefix(team))
             source.install_cell(team, found, self.shared.clock())
+        for team in txn.grants:
+            source.install_grants(team, *await self._read_one(grants_key(team)))
         self.routing.replay(held.shard, ("o",))  # it may not have known the starts that this was about
         if txn.ends:
             await self.current()
--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -128,6 +128,7 @@
     expired: bool = False  # silent for longer than its lease
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recent first
     draining: bool = False
+    cordoned: bool = False  # to be emptied by order: nothing new goes there while the order holds
     faulty_until: float = 0.0
     faulty_since: float = 0.0
     condemned: bool = False  # faulty for long enough to be given back
@@ -215,7 +216,7 @@
     def unusable(self, m: Machine, now: float) -> bool:
         """Whether nothing new may go there."""
         return (
-            m.expired or m.draining or m.notice_s is not None or not m.took or m.faulty_until > now
+            m.expired or m.draining or m.cordoned or m.notice_s is not None or not m.took or m.faulty_until > now
             or now - m.last_report > self.silent_s or m.name in self.proven_gone
         )  # fmt: skip
 
--- a/ploverhall/coordination/ledger.py
+++ b/ploverhall/coordination/ledger.py
@@ -20,6 +20,7 @@
 from ploverhall.protocol import peers
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peers import PermitNews
+from ploverhall.protocol.workers import Key
 from ploverhall.settings import Team
 
 PROGRESS_TASKS = 8192  # tasks whose bits share one value: about 1.4 KB
@@ -45,7 +46,7 @@
     landed: bool = False
     state: str = "permitted"
     why: str = ""
-    notice: int = 0  # 1: its machine goes, 2: its room is needed
+    notice: int = 0  # 1: its machine goes, 2: its room is needed, 3: its machine is to be emptied
     stop: float | None = None
     ran_at: float | None = None  # when it was first told to be running
     over: bool = False  # exited and recorded here, or proven gone: to be taken out of the cell
@@ -229,6 +230,7 @@
     chunks: list[ChunkWrite] = field(default_factory=list)
     progress: list[tuple[JobState, int]] = field(default_factory=list)
     ends: list[JobState] = field(default_factory=list)
+    grants: dict[str, list[Key]] = field(default_factory=dict)  # by team: the stops that it lands
     size: int = 400
 
     @property
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -15,7 +15,7 @@
 from ploverhall.protocol import peers, workers
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job, from_record
-from ploverhall.protocol.peers import Candidate, JobNews, MachineNews, PermitNews, StartNews
+from ploverhall.protocol.peers import NOTICE_EMPTY, Candidate, JobNews, MachineNews, PermitNews, StartNews
 from ploverhall.protocol.workers import EXITED, Key, Report
 
 TOKEN_BITS = 20
@@ -44,6 +44,7 @@
         self.preempting: dict[Key, Permit] = {}  # permits that wait for others to leave
         self.synced: set[int] = set()
         self.drain: set[str] = set()
+        self.empty: set[str] = set()  # machines that an order wants empty
         self.changed: set[Key] = set()  # starts whose sources must hear of them
         self.news: dict[tuple[int, str], Any] = self.placement.news
         self.work: dict[str, Machine] = {}  # machines that may need a command
@@ -229,7 +230,7 @@
         m = self.machines.get(r.machine)
         if m is None:
             m = Machine(r.machine, r.addr, r.type, r.zone, r.spot, self.epoch << TOKEN_BITS)
-            m.draining = r.machine in self.drain
+            m.draining, m.cordoned = r.machine in self.drain, r.machine in self.empty
             m.permits = self.fleet.permits.setdefault(r.machine, {})
             self.fleet.stock(m, self.fleet.remembered.pop(r.machine, {}))
             self.machines[r.machine] = m
@@ -514,7 +515,8 @@
         m = self.machines.get(p.machine)
         task = m.tasks.get(p.key) if m is not None else None
         if task is not None and not p.gone:
-            notice = 1 if m is not None and m.notice_s is not None else 2 if p.evict else 0
+            asked = NOTICE_EMPTY if m is not None and m.cordoned else 0
+            notice = 1 if m is not None and m.notice_s is not None else 2 if p.evict else asked
             suspect = m is not None and task.why == "error" and any(j != p.key[0] for j in m.faults)
             return StartNews(task.state, task.why, int(task.saved), notice, int(suspect))
         return StartNews("gone", p.why, 0, 0) if p.gone else StartNews("permitted", "", 0, 0)
@@ -549,7 +551,8 @@
         firm = any(i is not None and not i.spot for i in (self.fleet.info.get(k[0]) for k in m.permits))
         room = self.fleet.room(m)
         return MachineNews(
-            m.type, m.zone, int(m.spot), [round(x, 3) for x in room], int(empty), int(m.draining), int(m.notice_s is not None),
+            m.type, m.zone, int(m.spot), [round(x, 3) for x in room], int(empty),
+            1 if m.draining else 2 if m.cordoned else 0, int(m.notice_s is not None),
             int(m.condemned), int(firm), [round(x, 3) for x in self.fleet.firm_room(m, room)],
         )  # fmt: skip
 
@@ -558,6 +561,17 @@
         seen, self.seen = self.seen, {}
         return {name: self.machine_news(m, now) if m is not None else None for name, m in seen.items()}
 
+    def set_empty(self, names: list[str]) -> None:
+        """An order wants these machines empty: nothing new goes there, and the sources are asked to let go of what is there."""
+        new = set(names)
+        for name in new ^ self.empty:
+            m = self.machines.get(name)
+            if m is not None:
+                m.cordoned = name in new
+                self.changed.update(m.permits)
+                self._touch(m)
+        self.empty = new
+
     def set_drain(self, names: list[str]) -> None:
         """The renter wants these machines empty."""
         new = set(names)
--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -15,6 +15,7 @@
 from ploverhall.protocol.cloud import Listed, MachineType
 from ploverhall.protocol.jobs import Job, from_record
 from ploverhall.protocol.peers import DemandNews, MachineNews
+from ploverhall.upkeep.orders import RUNNING, Order
 
 USUAL = 1.6  # times the nominal boot time: what the cloud's machines usually need at most
 BOOTS_S = 300.0  # boots seen within this time count
@@ -36,6 +37,7 @@
     idle_since: float | None = None
     returning: bool = False
     drain: bool = False
+    order: str | None = None  # the order that it is being emptied by
 
 
 @dataclass(slots=True)
@@ -116,7 +118,10 @@
         self.lists = 0  # complete lists taken since this renter began
         self.pleas = 0
         self.arrivals: dict[str, tuple[float, Job]] = {}  # jobs of the last minutes, for the spare room
-        self.wall = 0.0
+        self.wall = self.now = 0.0
+        self.orders: list[Order] = []  # to empty machines, as the store has them
+        self.order_waits: dict[str, str] = {}
+        self.looked = False  # it has looked at the orders, with the cloud's list at hand
         self.boots: dict[tuple[str, str], deque[tuple[float, float]]] = {}  # by type and zone: rented and up, newest last
         self.young: dict[tuple[str, str], int] = {}  # machines that boot and are not overdue yet
         self.overdue: dict[tuple[str, str], int] = {}  # machines that should be up, where none rented after them has come
@@ -239,12 +244,115 @@
     def plan(self, now: float, wall: float) -> Plan:
         """The difference between what is wanted and what is."""
         out = Plan()
-        self.wall = wall
+        self.wall, self.now = wall, now
         self._returns(now, out)
         if self.lists and self.types:
             self._rents(now, out)
+            self._empty(out)
         return out
 
+    # -- orders to empty machines ------------------------------------------------------------
+
+    def _empty(self, out: Plan) -> None:
+        """Pick the machines that are emptied next: only where what they carry has room elsewhere, else rent that room first."""
+        running = {o.id: o for o in self.orders if o.state == RUNNING}
+        for m in self.machines.values():
+            if m.order is not None and m.order not in running and not m.returning:
+                m.order = None  # paused or stopped: what has not gone back stays
+        going = [m for m in self.machines.values() if m.order is not None]
+        waits: dict[str, str] = {}
+        for order in running.values():
+            mine = sum(1 for m in going if m.order == order.id)
+            left = [
+                m for m in self.machines.values()
+                if m.order is None and not m.returning and not m.drain and m.view is not None and order.matches(m.name, m.kind, m.part)
+            ]  # fmt: skip
+            # what another renter has begun with first, then what is empty or nearly so
+            left.sort(key=self._first)
+            for m in left:
+                if mine >= order.at_once:
+                    waits[order.id] = f"{mine} machines are being emptied, as many as it allows at once"
+                    break
+                missing, unrented = self._short(m, [*going, m])
+                if missing > 0:
+                    # work that is stopped before there is room for it waits for a machine's boot
+                    kind = self._elsewhere(m.kind)
+                    if kind is not None and unrented > 0:
+                        out.rent.append(Rent(kind, min(unrented, order.at_once)))
+                    waits[order.id] = f"what runs on {m.name} has no room elsewhere" + (", machines are rented" if kind else "")
+                    break
+                m.order = order.id
+                going.append(m)
+                mine += 1
+        self.order_waits, self.looked = waits, True
+
+    def _first(self, m: Rented) -> tuple[bool, bool, float, str]:
+        v = m.view
+        return (v is not None and v.draining != 2, v is not None and not v.empty, self._used(m), m.name)
+
+    def _used(self, m: Rented) -> float:
+        sold = self.types.get(m.kind[0])
+        if sold is None or m.view is None:
+            return 0.0
+        return max((1.0 - free / all_of for free, all_of in zip(m.view.room, sold.vec, strict=True) if all_of > 0), default=0.0)
+
+    def _short(self, m: Rented, going: list[Rented]) -> tuple[int, int]:
+        """How many machines are missing for what runs on those that are being emptied, and how many of these don't boot yet.
+
+        This one with them; whole machines' worth of room is compared, of the same type.
+        """
+        need = sum(self._used(g) for g in going if g.kind[0] == m.kind[0])
+        names = {g.name for g in going}
+        up = coming = 0.0
+        for o in self.machines.values():
+            if o.kind[0] != m.kind[0] or o.name in names or o.drain or o.returning or self._ordered(o):
+                continue
+            if o.view is not None and not (o.view.draining or o.view.notice or o.view.faulty):
+                up += 1.0 - self._used(o)
+            elif self._booting(o):
+                coming += 1.0
+        missing = max(0, math.ceil(need - up - 1e-6))
+        return missing, max(0, math.ceil(need - up - coming - 1e-6))
+
+    def _ordered(self, m: Rented) -> bool:
+        """Whether some order wants it empty, now or later."""
+        return any(o.state == RUNNING and o.matches(m.name, m.kind, m.part) for o in self.orders)
+
+    def _elsewhere(self, kind: Kind) -> Kind | None:
+        """Where to rent room for what is moved: the same kind first, nowhere that an order closes or the cloud refuses."""
+        sold = self.types.get(kind[0])
+        if sold is None:
+            return None
+        kinds = [(kind[0], z, s) for s in (kind[2], False) for z in (kind[1], *sold.zones) if z in sold.zones]
+        return next((k for k in kinds if not self._closed(k) and not self._paused(k, self.now)), None)
+
+    def _closed(self, kind: Kind) -> bool:
+        return any(o.closes(kind) for o in self.orders)
+
+    def emptying(self, part: int) -> list[str]:
+        """Machines of a part that are being emptied by order."""
+        return sorted(m.name for m in self.machines.values() if m.part == part and m.order is not None)
+
+    def progress(self) -> dict[str, dict[str, Any]]:
+        """For people: how far each order is."""
+        out = {}
+        for o in self.orders:
+            mine = [m for m in self.machines.values() if o.matches(m.name, m.kind, m.part)]
+            out[o.id] = {
+                "left": len(mine), "being_emptied": sorted(m.name for m in mine if m.order == o.id)[:20],
+                "waits": self.order_waits.get(o.id, ""),
+            }  # fmt: skip
+        return out
+
+    def finished(self, now: float) -> list[Order]:
+        """Orders that name machines none of which is there any more. One that names a place holds until it is stopped."""
+        if not self.lists or now - self.started < 2.0 * self.lag_s + 5.0:
+            return []  # not all that is there has been seen yet
+        return [
+            o for o in self.orders
+            if o.state == RUNNING and o.machines is not None and not any(n in self.machines for n in o.machines)
+        ]  # fmt: skip
+
     def _returns(self, now: float, out: Plan) -> None:
         for m in self.machines.values():
             sold = self.types.get(m.kind[0])
@@ -256,7 +364,7 @@
                 out.give_back.append(m.name)  # it never comes up, and is charged until it is deleted
             elif m.view is None and m.listed == "running" and silent > 60 + 2 * self.lease_s and now - self.started > 60:
                 out.give_back.append(m.name)  # up, charged, and no worker reports
-            elif m.view is not None and m.view.empty and m.view.draining:
+            elif m.view is not None and m.view.empty and (m.view.draining == 1 or (m.view.draining == 2 and m.order is not None)):
                 out.give_back.append(m.name)  # drained
             elif m.view is not None and m.view.faulty:
                 m.drain = True  # faulty: used up, then replaced
@@ -317,7 +425,7 @@
         coming = self._count_booting(now)
         for m in self.machines.values():
             t = self.types.get(m.kind[0])
-            if t is None or m.drain or m.returning or m.name in but:
+            if t is None or m.drain or m.returning or m.order is not None or m.name in but:
                 continue
             if (v := m.view) is not None:
                 if not (v.draining or v.notice or v.faulty):
@@ -488,7 +596,7 @@
                 if (job.zone is not None and z != job.zone) or (zones is not None and zones.get(z, 0) <= 0):
                     continue
                 for spot in (True, False) if job.spot and self._urgent(job) else (job.spot,):
-                    if self._paused((t.name, z, spot), now):
+                    if self._paused((t.name, z, spot), now) or self._closed((t.name, z, spot)):
                         continue
                     late = self._late((t.name, z), now)
                     missing = self.overdue.get((t.name, z), 0)
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ploverhall.coordination.fleet import EPS, NOTHING, add
+from ploverhall.coordination.grants import Grants
 from ploverhall.coordination.ledger import (
     WORKED_S,
     Chunk,
@@ -22,10 +23,9 @@
     entry_bytes,
     header_bytes,
 )
-from ploverhall.coordination.writes import Writes
 from ploverhall.protocol import peers
 from ploverhall.protocol.jobs import Job
-from ploverhall.protocol.peers import Candidate, DemandNews, JobNews, OfferNews, StartNews
+from ploverhall.protocol.peers import NOTICE_EMPTY, Candidate, DemandNews, JobNews, OfferNews, StartNews
 
 ATTEMPT_BITS = 28
 PATIENCE_S = 0.06  # how long a worse answer waits for a better one: a few round trips between controllers
@@ -37,7 +37,7 @@
 REVISIT_S = 1.0  # how often every job with offers is decided anew, whatever has been seen to change
 
 
-class Source(Writes):
+class Source(Grants):
     """Decides for the jobs of one shard's teams."""
 
     # -- what owners tell --------------------------------------------------------------------
@@ -71,6 +71,8 @@
             return
         self.note("task", job=e.job, task=e.task, attempt=e.attempt, machine=e.machine, state=state, why=why or "-")
         js.running -= e.running
+        if NOTICE_EMPTY in (news.notice, e.notice):
+            self.ask(e, news.notice == NOTICE_EMPTY, now)
         e.state, e.why, e.notice = state, why, news.notice
         e.over = state in ("exited", "gone")
         js.running += e.running
@@ -85,7 +87,7 @@
                 heapq.heappush(self.retries, (now + WORKED_S + 0.1, js.id))
         self.counted.add(js.id)
         if not e.over:
-            if news.notice and js.job is not None:
+            if news.notice in (1, 2) and js.job is not None:
                 self._leave(js, e, news.notice)
             return
         js.since = now
--- a/ploverhall/protocol/peers.py
+++ b/ploverhall/protocol/peers.py
@@ -11,6 +11,7 @@
 
 from ploverhall.protocol.workers import Key
 
+NOTICE_EMPTY = 3
 JOB, CANDIDATE, PERMIT, OFFER, START = "j", "w", "p", "o", "t"
 
 
@@ -57,7 +58,7 @@
     state: str
     why: str
     saved: int
-    notice: int  # 1: its machine goes, 2: its room is needed
+    notice: int  # 1: its machine goes, 2: its room is needed, 3: its machine is to be emptied, when its team can do without
     suspect: int = 0  # other jobs have failed on this machine lately, too
 
 
@@ -69,7 +70,7 @@
     spot: int
     room: list[float]
     empty: int
-    draining: int
+    draining: int  # 1: for good, 2: while an order holds
     notice: int
     faulty: int
     firm: int  # runs work that can't be on a cheap machine
--- a/ploverhall/settings.py
+++ b/ploverhall/settings.py
@@ -48,6 +48,7 @@
     keep_ended: int = 20_000
     cut_off_s: float = 60.0
     carry: bool = True
+    budget: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/ploverhall/upkeep/command.py
@@ -0,0 +1,99 @@
+"""`ploverhall drain` and `ploverhall upkeep`: asks a running controller, whichever."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import secrets
+import sys
+import urllib.error
+import urllib.request
+from typing import Any
+
+TRIES = 5
+
+
+def ask(address: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+    """One request, asked again while the controller can't decide: an order is placed once, whatever became of the answer."""
+    data = json.dumps(body).encode() if body is not None else b"" if method == "POST" else None
+    status, out = 0, None
+    for _ in range(TRIES):
+        try:
+            with urllib.request.urlopen(urllib.request.Request(f"http://{address}{path}", data, method=method), timeout=5) as f:
+                return f.status, json.load(f)
+        except urllib.error.HTTPError as e:
+            try:
+                status, out = e.code, json.load(e)
+            except ValueError:
+                status, out = e.code, None
+            if status != 503:
+                break
+        except (OSError, ValueError) as e:
+            status, out = 0, {"error": str(e)}
+    return status, out
+
+
+def _refused(status: int, out: Any) -> int:
+    why = out.get("error") if isinstance(out, dict) else None
+    print(f"ploverhall: {why or f'status {status}'}", file=sys.stderr)
+    return 1
+
+
+def drain(args: argparse.Namespace) -> int:
+    """Place an order, or say what it would be about."""
+    order = {
+        "id": args.id or f"u-{secrets.token_hex(4)}", "machines": args.machine, "zone": args.zone, "type": args.type,
+        "spot": None if args.kind is None else args.kind == "spot", "part": args.part, "at_once": args.at_once, "note": args.note,
+    }  # fmt: skip
+    if args.dry_run:
+        status, out = ask(args.address, "POST", "/upkeep/try", order)
+        if status != 200:
+            return _refused(status, out)
+        print(f"{out['machines']} machines, in at least {out['rounds_at_least']} rounds")
+        for team, kinds in sorted(out["teams"].items()):
+            print(f"  {team}: " + ", ".join(f"{n} tasks of {kind}s" for kind, n in sorted(kinds.items())))
+        if out["not_asked"]:
+            print(f"  not asked, so not counted: what {', '.join(out['not_asked'])} hold")
+        return 0
+    status, out = ask(args.address, "POST", "/upkeep", order)
+    if status not in (200, 201):
+        return _refused(status, out)
+    print(f"order {out['id']} is {out['state']}")
+    return 0
+
+
+def upkeep(args: argparse.Namespace) -> int:
+    """List, show or change orders."""
+    if args.verb in ("list", "show"):
+        status, out = ask(args.address, "GET", "/upkeep")
+        if status != 200:
+            return _refused(status, out)
+        found = [o for o in out["orders"] if args.verb == "list" or o["id"] == args.id]
+        if args.verb == "show" and not found:
+            return _refused(404, {"error": "no such order"})
+        print("\n".join(lines(found, out["stops_that_wait"])))
+        return 0
+    if not args.id:
+        return _refused(0, {"error": "which order?"})
+    status, out = ask(args.address, "POST", f"/upkeep/{args.id}/{args.verb}")
+    if status != 200:
+        return _refused(status, out)
+    print(f"order {out['id']} is {out['state']}")
+    return 0
+
+
+def lines(found: list[dict[str, Any]], asked: dict[str, int]) -> list[str]:
+    """Orders for a person."""
+    out = []
+    for o in found:
+        about = [f"{k} {v}" for k, v in (("zone", o["zone"]), ("type", o["type"]), ("part", o["part"])) if v is not None]
+        about += ["spot" if o["spot"] else "ordinary"] if o["spot"] is not None else []
+        about += [f"{len(o['machines'])} named machines"] if o["machines"] else []
+        note = f" ({o['note']})" if o["note"] else ""
+        out.append(f"{o['id']}: {o['state']}, {', '.join(about)}, {o['at_once']} at once{note}")
+        if "left" in o:
+            out.append(f"  {o['left']} machines left; being emptied: {', '.join(o['being_emptied']) or 'none'}")
+        if o.get("waits"):
+            out.append(f"  waits: {o['waits']}")
+    out += [f"stops that wait: {n}, {why}" for why, n in sorted(asked.items())]
+    return out or ["no orders"]
--- a/tests/played.py
+++ b/tests/played.py
@@ -243,6 +243,7 @@
         self.options = options
         self.nodes: dict[str, Node] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
+        self.down: set[str] = set()
         self.users = {n: Client(n, 80, 2, self.net.of("user"), self.loop.time) for n in self.names}
         self.teams = {f"team-{i}": settings.Team(f"team-{i}", 0, 0, 4, 16) for i in range(teams)}
         self.asked: dict[str, Asked] = {}
@@ -309,8 +310,12 @@
 
     async def crash(self, name: str, s: float) -> None:
         """End a controller, and start it again later."""
+        if name in self.down:
+            return  # there is one process of a name at a time
+        self.down.add(name)
         self.scopes[name].cancel()
         await anyio.sleep(s)
+        self.down.discard(name)
         self.boot(name)
 
     def workers_of(self, name: str) -> list[str]:
