A cell's key is never deleted: a late write that found none can't land; contact needs the own key

Cause: a permit's write is guarded on its chunk's version, 0 where there is none. One of unknown outcome is fenced by writing the chunk anew; but the chunk was deleted as soon as it was empty, its version was 0 again, and the late write (2 to 12 s, or a repeat of one that had been carried out) passed all its guards as long as its job was live: a permit in the store that nobody knew of, taken in with the next reading of the cell, in place of the one that ran. Found by going through the writes one by one; tests/test_source.py brings it about with the plain store and failed before (the late write landed).

Change: an empty chunk is written empty and kept. As many keys stay as a team had chunks at once; no more writes than before.

Also: a read counts as contact only where the own key was in it (it could have gone with an earlier life's lease while this life's was alive, and go on being taken for contact while its rewriting failed). This replaces the time of the early fence after a grant.

--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -84,11 +84,15 @@
         Then it stops answering workers early enough for their leases to run out within the time a cancellation has.
         """
         self._contact()
-        return self.cancellations.isolated(now, self._fence())
+        return self.cancellations.isolated(now)
 
     def _contact(self) -> None:
-        """Its own contact with the store: it has read everything, and its key was there."""
-        self.cancellations.contacted(min(self.following.read_at, self.renewed))
+        """Its own contact with the store: it has read everything, its key was in what it read, and its lease was alive.
+
+        What others have told while the key was not there is older than the key, so it has been read, too.
+        """
+        if NODE + self.shared.settings.name in self.shared.replica.keys:
+            self.cancellations.contacted(min(self.following.read_at, self.renewed))
 
     def look_around(self, now: float) -> None:
         """Whether there is anybody besides this controller's workers: neither store nor peers for longer than its lease lives."""
@@ -96,14 +100,10 @@
         alone = now - last > self.shared.settings.options.shard_lease_s + ALONE_S
         self.alone.look(alone and not any(self.hearing.heard(p.name, now) for p in self.shared.settings.peers), now)
 
-    def _fence(self) -> float:
-        """The long time only once it has read what came before the key that promises to wait with telling."""
-        return self.cancellations.fence if self.following.read_at > self.granted else self.cancellations.early
-
     def right(self, now: float) -> int:
         """What tokens that leave now say of who may answer their workers later (coordination.afterlife)."""
         self._contact()
-        return self.rights.given(now - self.cancellations.contact(now), self._fence(), self.shared.wall())
+        return self.rights.given(now - self.cancellations.contact(now), self.cancellations.fence, self.shared.wall())
 
     async def lease_loop(self) -> None:
         """Keep a lease and the key that shows this node is up."""
--- a/ploverhall/coordination/cancellations.py
+++ b/ploverhall/coordination/cancellations.py
@@ -148,9 +148,9 @@
         """The newest time at which every other controller owed this one."""
         return min((max(self.read_at, m.sure) for m in self.members.values()), default=now)
 
-    def isolated(self, now: float, fence: float) -> bool:
+    def isolated(self, now: float) -> bool:
         """Whether others may have told a user of a cancellation that this one does not know: it must not answer workers."""
-        return self.lapsed or now - self.contact(now) >= fence
+        return self.lapsed or now - self.contact(now) >= self.fence
 
     @property
     def early(self) -> float:
--- a/ploverhall/coordination/ledger.py
+++ b/ploverhall/coordination/ledger.py
@@ -68,7 +68,11 @@
 
 @dataclass(slots=True, eq=False)
 class Chunk:
-    """One value of a team's cell, with its size as it will be encoded."""
+    """One value of a team's cell, with its size as it will be encoded.
+
+    Its key is never deleted, only written empty. Else its version would be 0 again, and a write that found none, and is carried out
+    late or once more, would land a permit that nobody knows of.
+    """
 
     team: str
     index: int
@@ -337,8 +341,6 @@
         for key, (value, version) in found.items():
             chunk = Chunk(team, int(key.rsplit("/", 1)[1]), version)
             self.chunks[team][chunk.index] = chunk
-            if not value:
-                self.dirty_chunks.setdefault(chunk, False)  # written empty by a fence: to be deleted
             for jid, (vec, entries) in value.items():
                 for task, attempt, machine, part, zone, epoch, ticket in entries:
                     js = self.jobs.get(jid)
--- a/ploverhall/coordination/writes.py
+++ b/ploverhall/coordination/writes.py
@@ -130,10 +130,8 @@
                 write.adds.append(e)
             put_entry(value, js, e)
         txn.guards[chunk.key] = chunk.version
-        if value:
+        if value or chunk.version:
             txn.puts[chunk.key] = value
-        elif chunk.version:
-            txn.deletes.append(chunk.key)
         txn.chunks.append(write)
         txn.size += chunk.size + 2 * len(chunk.key) + 100
         return True
@@ -148,8 +146,6 @@
             self.fences.discard((chunk.team, chunk.index))
             if chunk.key in txn.puts:
                 chunk.version = revision
-            else:
-                chunk.version = 0
             for e in write.adds:
                 known = self.jobs.get(e.job)
                 if known is not None:
@@ -176,9 +172,7 @@
             self.visits += 1
             if e.over or not e.landed:
                 self.dirty_chunks[chunk] = self.dirty_chunks.get(chunk, False) or not e.landed
-        if not chunk.entries and chunk.version:
-            self.dirty_chunks.setdefault(chunk, False)  # an empty value: to be deleted
-        elif not chunk.entries:
+        if not chunk.entries and not chunk.version:
             self.chunks[chunk.team].pop(chunk.index, None)
 
     def refused(self, txn: Txn, failed: list[str]) -> list[str]:
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ploverhall.bookkeeping.replica import JOB
+from ploverhall.bookkeeping.replica import JOB, SHARD
 from ploverhall.coordination.ledger import Txn
 from ploverhall.coordination.source import Source
 from ploverhall.protocol import peers
@@ -12,6 +12,8 @@
 from ploverhall.protocol.peers import OfferNews, StartNews
 from ploverhall.settings import Team
 
+from .world import Store
+
 EPOCH = 9
 
 
@@ -290,3 +292,37 @@
     e = txn.adds[0]
     s.on_owner(0, 3, False, {peers.start_key((e.job, e.task, e.attempt)): StartNews("running", "", 0, 0)}, 365.0)
     assert first()[-1] == "j-000001" and s.wanted(s.jobs["j-000001"], 365.0) == 49, "it has begun: the rest in its turn"
+
+
+def test_a_write_that_is_late_fails_its_guards_even_when_its_cell_has_been_empty_meanwhile() -> None:
+    """It found no cell, and says so. The cell was fenced, used, emptied, and deleted: there was none again, and the late write landed.
+
+    Its permit was one that nobody knew of, for a task that ran elsewhere or was done (share of such writes on a bad day: 0.6).
+    """
+    store = Store()
+    rev, _ = store.txn({}, {JOB + "j-000001": 1, f"{SHARD}0": {"node": "c0"}}, [])
+    s = Source(0, rev, [Team("t", 0, 0, 4, 10.0)], ("a", "b"), 4096, 8)
+    s.on_job(a_job(n=2), "j-000001", rev, 0.0)
+    s.on_owner(0, 3, True, offers(1), 1.0)
+    s.decide(1.0)
+    late = s.plan()
+    assert late is not None and len(late.adds) == 1
+    s.unknown(late)
+    s.install_cell("t", store.read("c/t/"), 2.0)
+
+    def write() -> None:
+        while (txn := s.plan()) is not None:
+            rev, failed = store.txn(txn.guards, txn.puts, txn.deletes)
+            assert not failed
+            s.landed(txn, rev, 2.0)
+
+    write()  # the fence
+    s.on_owner(0, 3, True, offers(1, first=7), 2.0)
+    s.decide(2.0)
+    write()
+    key = next(iter(s.jobs["j-000001"].entries.values()))
+    s.on_owner(0, 3, False, {peers.start_key((key.job, key.task, key.attempt)): StartNews("exited", "done", 0, 0)}, 3.0)
+    write()
+    assert not s.jobs["j-000001"].entries and not any(v for v, _ in store.read("c/t/").values()), "no permit is left"
+    _, failed = store.txn(late.guards, late.puts, late.deletes)
+    assert failed and all(f.startswith("c/") for f in failed), "nothing but its own cell's version stands against it"
