--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -182,6 +182,7 @@
         for j in changed:
             if (e := ended.get(j)) is not None and e.how == WITHDRAWN:
                 self.cancellations.note(j, e.version)
+                log.debug("withdrawn", job=j)  # whoever wrote it may not know that it has landed
                 cancelled = max(cancelled, e.version)
         if cancelled > shared.cancelled_rev:
             shared.cancelled_rev = cancelled  # the users' answers wait for everybody's word that it has been read
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -122,6 +123,8 @@
         self.started_at: list[float] = []
         self.started_on: list[tuple[float, str]] = []  # and on which machine
         self.first_starts: set[tuple[str, int]] = set()
+        self.begun: Counter[tuple[str, int]] = Counter()  # how often each task was started
+        self.longer: dict[tuple[str, int], float] = {}  # by how much some tasks run longer than others of their job
         self.killed_by_lease = 0
         self.broken: list[str] = []
         self.tasks: Any = None
@@ -140,6 +143,7 @@
         self.started_at.append(self.now)
         self.started_on.append((self.now, w.name))
         self.first_starts.add(key[:2])
+        self.begun[key[:2]] += 1
         try:
             world.World.started(self, w, key)  # type: ignore[arg-type]
         except world.Broken as e:
