--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,15 +7,20 @@
 
 import contextlib
 from random import Random
+from typing import Any
 
 import anyio
 import pytest
 
+from ploverhall.control.following import Following
 from ploverhall.coordination.ledger import JobState
+from ploverhall.coordination.owner import Owner
+from ploverhall.protocol.state import Store
 from ploverhall.transport.http import Unreachable
 
 from .meetings import KNOWN_S, meet
 from .played import HOLD, RESET, Played, play
+from .test_copies import _check_without_tokens
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -111,3 +116,28 @@
         assert not await p.all_answered(KNOWN_S)
 
     play(scene)
+
+
+async def always(self: Following) -> bool:
+    return True
+
+
+def unguarded(real: Any) -> Any:
+    async def txn(self: Store, guards: dict[str, int], *a: Any, **kw: Any) -> Any:
+        return await real(self, {k: v for k, v in guards.items() if not k.startswith(("c/", "p/shard/"))}, *a, **kw)
+
+    return txn
+
+
+@pytest.mark.parametrize(("seed", "kinds", "rule", "where", "name", "without"), [
+    (507, ("held_up", "deaf", "crash", "pause"), "ran_twice", Owner, "_check", _check_without_tokens),
+    (504, ("late_writes", "slow", "crash"), "ran_twice", Store, "txn", unguarded(Store.txn)),
+    (500, ("alone", "gap", "pause", "slow"), "forgotten", Following, "current", always),
+])  # fmt: skip
+def test_a_drawn_day_finds_what_a_guard_is_there_for(
+    seed: int, kinds: tuple[str, ...], rule: str, where: type, name: str, without: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What a list omits is gone only under a raised token; writes are guarded; nobody is answered from an old copy."""
+    monkeypatch.setattr(where, name, without)
+    with pytest.raises(AssertionError, match=rule):
+        meet(seed, kinds)
