A portion of named cancellations claims no more than its sender has read

Cause, found rereading: with more than 400 to name, the watermark of the portion was its last entry's revision, even where that was the sender's own newest write, not read up to yet: there may be others in between that neither knows. Now the lower of the two; the test failed before.

--- a/ploverhall/coordination/cancellations.py
+++ b/ploverhall/coordination/cancellations.py
@@ -107,7 +107,7 @@
         news, echo = self.own[bisect_right(self.own, Cancelled(m.known, "~")) :] if read else [], m.word
         if len(news) > MOST_NAMED:
             news, echo = news[:MOST_NAMED], None
-            known = news[-1].version
+            known = min(known, news[-1].version)
         if echo is not None:
             m.owed = m.heard  # not from now on: the same word may come back to its sender many times
         return Word(known, self.life, now, now - self.started, read > 0, echo, news)
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -112,6 +112,15 @@
     assert m.informed == 10 + n and m.members["p"].sure == 3.0
 
 
+def test_a_portion_claims_no_more_than_has_been_read() -> None:
+    """Its own newest writes are named before it has read up to them: there may be others in between that it does not know."""
+    p = Cancellations(["m"], CANCEL, LEASE, CUT_OFF, 0.0, "p")
+    for i in range(MOST_NAMED + 1):
+        p.note(f"j-{i:06d}", 100 + i)
+    assert p.word("m", 50, 1.0).known == 50
+    assert p.word("m", 50 + 2 * MOST_NAMED, 1.0).known == 100 + MOST_NAMED - 1
+
+
 def test_while_a_release_that_tells_at_once_is_about_the_old_time_holds() -> None:
     t = cancellations()
     t.present("c1", True, 0)
