--- a/ploverhall/coordination/afterlife.py
+++ b/ploverhall/coordination/afterlife.py
@@ -11,9 +11,10 @@
 - *ran_cancelled.* A user may be told of a cancellation that this life knows nothing of. Let `a` be when the worker was last answered
   by a life that knew. What that life had read by then, it has stopped with that answer. What it read later was told later than
   `a`: the worker must be gone by `a + cancel_s`, so be answered no later than `cancel_s - lease_s` after `a`. What it never knew is
-  told `Cancellations.patience` after it was last owed anything, which allows for answers until `fence` after its last contact, or at once
-  when this life has been named it, and has stopped it with its answers. The earlier of the two is the worker's *right*, and every token says it: 0 stands for "cancel_s - lease_s from the answer on" while contact is sure, 255 for
-  none, anything else for a time of day in steps of two seconds. A life that knows nothing hands the right on as it found it.
+  told `Cancellations.patience` after it was last owed anything, which allows for answers until `fence` after its last contact, or at
+  once when this life has been named it, and stops it with its answers. The earlier of the two is the worker's *right*, and every token
+  says it: 0 stands for "cancel_s - lease_s from the answer on" while contact is sure, 255 for none, anything else for a time of day in
+  steps of two seconds. A life that knows nothing hands the right on as it found it.
 
 No I/O. Times are seconds; `wall` is the time of day, which the platform keeps within a bound.
 """
