One seed, one course again: the renter asked in the order of a set of names; a frame of a test without its field

Traces of one seed under two hash seeds part where the renter gives a machine back: Renter._spare went over a set of names, so which kind of machine it asked first was another one in every process (before this change too; the scenes of test_repeatable gave no machine back). Now by name, and equal machines are returned by name. tests/test_repeatable.py compares a meeting in two processes: parted before, the same now.

tests/test_copies.py: its small world lacked the field `longer` that the worker asks for since; six tests failed in the full suite because of that.

--- a/ploverhall/coordination/renter.py
+++ b/ploverhall/coordination/renter.py
@@ -397,7 +397,7 @@
             and ((m.idle_since is not None and now - m.idle_since > self.idle_s) or (not m.kind[2] and not m.view.firm and not needed))
         ]  # fmt: skip
         ordinary: dict[Kind, list[Rented]] = {}
-        for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), -m.since)):
+        for m in sorted(out_of_use, key=lambda m: (m.idle_since is None, -self._price(m.kind), -m.since, m.name)):
             # the newest go first: the others have had more time to gather images
             if m.kind[2]:
                 m.drain = True
@@ -471,7 +471,7 @@
         """How many of these machines are in nobody's way, by kind: what waits and what is likely to come has room without them."""
         _, firm = self._bins(now, but)
         have: dict[Kind, int] = {}
-        for name in but:
+        for name in sorted(but):  # in one order in every process: it decides which kind is asked first
             place = self.machines[name].kind
             have[place] = have.get(place, 0) + 1
         wanted = [(d.job, d.n, d.zones) for d in self._items() if not d.job.spot] + [(job, n, None) for job, n in self._forecast(now)]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -114,6 +114,7 @@
         self.now, self.rng, self.nodes = 0.0, Random(1), [0]
         self.specs = {f"j-{i:06d}": a_job(f"j-{i:06d}", n=1, gpus=1.0, types=("t",), estimate_s=1e9) for i in range(3)}
         self.results: set[Any] = set()
+        self.longer: dict[tuple[str, int], float] = {}
         self.workers = [world.Worker(self, f"n-{i}", "a", False) for i in range(2)]  # type: ignore[arg-type]
         self.sent: list[tuple[world.Worker, dict[str, Any], float]] = []  # reports that left, the oldest first
         self.commands: list[tuple[world.Worker, dict[str, Any]]] = []  # that may still arrive
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from .meetings import meet
 from .played import HOLD, SILENT, Played, play
 
 
@@ -32,16 +33,30 @@
     return f"{p.net.checksum} {p.loop.time()!r}"
 
 
+def meeting(seed: int) -> str:
+    """Three troubles that meet, with replicas, long work and machines that are given back."""
+    return str(meet(seed, ("alone", "gap", "peers")).net.checksum)
+
+
+def elsewhere(call: str, hash_seed: str) -> str:
+    """What a course ends with in another process."""
+    code = f"from tests.test_repeatable import course, meeting; import sys; sys.stdout.write({call})"
+    env = {**os.environ, "PYTHONHASHSEED": hash_seed}
+    home = Path(__file__).parent.parent
+    return subprocess.run([sys.executable, "-c", code], cwd=home, env=env, capture_output=True, text=True, check=True).stdout
+
+
+def test_a_meeting_plays_the_same_in_another_process() -> None:
+    """The renter asked kinds of machines in the order of a set of names: which one it gave back was another one in every process."""
+    assert elsewhere("meeting(3)", "0") == elsewhere("meeting(3)", "1")
+
+
 def test_the_same_seed_plays_the_same_in_another_process() -> None:
     """Tasks and scopes in sets by address, and sets of names by hash, made one seed many courses: a failure came once in eight runs."""
     here = course(3)
     ballast = [object() for _ in range(50_000)]  # other addresses
     assert course(3) == here, "a second run in one process"
     del ballast
-    code = "from tests.test_repeatable import course; import sys; sys.stdout.write(course(3))"
     for hash_seed in ("0", "77"):
-        env = {**os.environ, "PYTHONHASHSEED": hash_seed}
-        home = Path(__file__).parent.parent
-        run = subprocess.run([sys.executable, "-c", code], cwd=home, env=env, capture_output=True, text=True, check=True)
-        assert run.stdout == here, f"another process, hash seed {hash_seed}"
+        assert elsewhere("course(3)", hash_seed) == here, f"another process, hash seed {hash_seed}"
     assert course(4) != here
