--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -130,7 +130,7 @@
 
 
 @pytest.mark.parametrize(("seed", "kinds", "rule", "where", "name", "without"), [
-    (507, ("held_up", "deaf", "crash", "pause"), "ran_twice", Owner, "_check", _check_without_tokens),
+    (509, ("held_up", "deaf", "crash", "pause"), "ran_twice", Owner, "_check", _check_without_tokens),
     (504, ("late_writes", "slow", "crash"), "ran_twice", Store, "txn", unguarded(Store.txn)),
     (500, ("alone", "gap", "pause", "slow"), "forgotten", Following, "current", always),
 ])  # fmt: skip
