--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -157,3 +157,10 @@
 def test_zones_that_are_cut_off_break_no_rule(seed: int) -> None:
     w = play(seed, kinds=(0, 2, 7, 7))
     assert not w.live() and not w.store.permits()
+
+
+@pytest.mark.parametrize("seed", range(300, 306))
+def test_a_refused_controller_and_then_an_outage_break_no_rule(seed: int) -> None:
+    """The gap in the plain world, with crashes: what is cancelled before the outage may be told in it."""
+    w = play(seed, kinds=(9, 9, 0))
+    assert not w.live() and not w.store.permits()
