--- a/ploverhall/bookkeeping/replica.py
+++ b/ploverhall/bookkeeping/replica.py
@@ -70,6 +70,8 @@
     keys: dict[str, tuple[Any, int]] = field(default_factory=dict)  # everything else, small
     changed_jobs: list[str] = field(default_factory=list)
     unreadable: set[str] = field(default_factory=set)  # accepted jobs whose record says nothing to this release
+    left: dict[str, int] = field(default_factory=dict)  # members' keys that are gone: the revision at which they went
+    loaded: int = 0  # what went before this revision, and came again, was not seen
 
     def load(self, found: dict[str, tuple[Any, int]], rev: int) -> None:
         """Start over from a listing whose first page had this revision."""
@@ -78,7 +80,8 @@
                 self._apply(key, None, rev)
         for key, (value, version) in found.items():
             self._apply(key, value, version)
-        self.rev = rev
+        self.rev = self.loaded = rev
+        self.left.clear()
 
     def apply(self, rev: int, events: list[Event]) -> bool:
         """Apply a watch's answer; True when something was new."""
@@ -117,6 +120,8 @@
             self.changed_jobs.append(jid)
         elif value is None:
             self.keys.pop(key, None)
+            if key.startswith(NODE):
+                self.left[key] = version
         else:
             self.keys[key] = (value, version)
 
@@ -143,6 +148,11 @@
         found = [cloud.type_from_record(v) for k, (v, _) in self.keys.items() if k.startswith(TYPE)]
         return {t.name: t for t in found} if len(found) >= marker[0]["n"] else None
 
+    def member(self, node: str) -> tuple[Any, int]:
+        """What a member's key says, and 0; or None, and since which revision it has surely been gone."""
+        value, _ = self.keys.get(NODE + node, (None, 0))
+        return value, 0 if value is not None else self.left.get(NODE + node, self.loaded)
+
     def alive(self, node: str) -> bool:
         """Whether a node holds its lease."""
         return f"{NODE}{node}" in self.keys
--- a/ploverhall/control/hearing.py
+++ b/ploverhall/control/hearing.py
@@ -26,10 +26,6 @@
         """Whether a peer has spoken lately."""
         return node in self.peer_news and now - self.peer_news[node][0] < HEARD_S
 
-    def all_heard(self, now: float) -> bool:
-        """Whether every peer has spoken lately."""
-        return all(self.heard(p.name, now) for p in self.shared.settings.peers)
-
     def others_reach_state(self, now: float) -> bool:
         """Whether the state service has just answered a peer."""
         return any(self.heard(n, now) and news.age + now - at < FRESH_S for n, (at, news) in self.peer_news.items())
--- a/ploverhall/control/links.py
+++ b/ploverhall/control/links.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from ploverhall import log
 from ploverhall.control.carrying import Carrying
 from ploverhall.control.hearing import Hearing
 from ploverhall.control.roles import Roles
@@ -9,29 +12,31 @@
 from ploverhall.control.shared import Shared
 from ploverhall.control.telling import Telling
 from ploverhall.coordination.boards import Message
-from ploverhall.coordination.told import Told
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.protocol import carry
-from ploverhall.protocol.peers import NodeNews
+from ploverhall.protocol.peers import Cancelled, Malformed, NodeNews, pack_word, word
 from ploverhall.transport.peer import Link, Listener
 
 NEWS_EVERY_S = 0.5
+REFUSED_EVERY_S = 60.0
 
 
 class Links:
     """One link to each peer, and the listener for theirs."""
 
-    def __init__(self, shared: Shared, hearing: Hearing, routing: Routing, roles: Roles, telling: Telling, told: Told,
-                 carrying: Carrying) -> None:
-        self.shared, self.hearing, self.routing, self.roles, self.telling, self.told = shared, hearing, routing, roles, telling, told
-        self.carrying = carrying
+    def __init__(self, shared: Shared, hearing: Hearing, routing: Routing, roles: Roles, telling: Telling,
+                 cancellations: Cancellations, carrying: Carrying, cancelled: Callable[[list[Cancelled]], None]) -> None:
+        self.shared, self.hearing, self.routing, self.roles, self.telling = shared, hearing, routing, roles, telling
+        self.cancellations, self.carrying = cancellations, carrying
+        self.cancelled = cancelled  # acts on what a peer says has been cancelled
         s, seams = shared.settings, shared.seams
         self.links = {p.name: Link(s.name, p.name, p.host, p.port, self.collect, seams.net, seams.clock) for p in s.peers}
         self.listener = Listener(self.deliver, seams.net, seams.clock)
         self.news_at: dict[str, float] = {}
-        self.seen_sent: dict[str, int] = {}  # per peer: the revision it was told this node has read up to
+        self.known_sent: dict[str, int] = {}  # per peer: the watermark that it was told
+        self.refused_at: dict[str, float] = {}  # per peer: when a word of its that is in no form was last named in the log
         self.numbers = 0
 
-
     def up(self) -> list[str]:
         """The peers to which there is a connection."""
         return [name for name, link in self.links.items() if link.up]
@@ -50,11 +55,12 @@
         if told:
             self.news_at[node] = now
             out.append(["n", shared.me, 0, 0, True, self.hearing.own(now), 0])
-        if shared.replica.ready and (told or self.seen_sent.get(node, 0) < min(shared.cancelled_rev, shared.replica.rev)):
+        if told or self.known_sent.get(node, 0) < min(shared.cancelled_rev, max(shared.replica.rev, self.cancellations.informed)):
             # a message of its own, in the form of a board: a release that does not know it takes it for one of nobody's
-            self.seen_sent[node] = shared.replica.rev
+            said = self.cancellations.word(node, shared.replica.rev, now)
+            self.known_sent[node] = said.known
             self.numbers += 1
-            out.append(["k", shared.me, 0, 0, True, {"seen": shared.replica.rev}, self.numbers])
+            out.append(["k", shared.me, 0, 0, True, pack_word(said), self.numbers])
         return out + self.telling.collect(node, now) + self.carrying.collect(node, now)
 
     def deliver(self, node: str, batch: list[Message]) -> None:
@@ -67,8 +73,7 @@
                 self.roles.deposed(said.epochs, node)
                 self.routing.route()
             elif message[0] == "k":
-                if isinstance(seen := message[5].get("seen"), int):
-                    self.told.read(node, seen)
+                self._word(node, message[5])
             elif message[0] in (carry.WORD, carry.QUESTION, carry.ANSWER):
                 self.carrying.deliver(node, message)
             elif message[0] in ("v", "q", "a"):
@@ -77,3 +82,16 @@
                 news = True
         if news:
             self.shared.poke()
+
+    def _word(self, node: str, value: object) -> None:
+        """What a peer knows of cancellations; one that is in no form changes nothing."""
+        now = self.shared.clock()
+        try:
+            said = word(value)
+        except Malformed as e:
+            if now - self.refused_at.get(node, -1e9) > REFUSED_EVERY_S:
+                self.refused_at[node] = now
+                log.error("word of a controller refused", by=node, field=e)
+            return
+        if named := self.cancellations.take(node, said, now):
+            self.cancelled(named)
--- a/ploverhall/control/membership.py
+++ b/ploverhall/control/membership.py
@@ -20,8 +20,8 @@
 from ploverhall.control.workers import Workers
 from ploverhall.coordination.afterlife import Rights
 from ploverhall.coordination.alone import Alone
+from ploverhall.coordination.cancellations import CAN, Cancellations
 from ploverhall.coordination.stranded import Stranded
-from ploverhall.coordination.told import CAN, Told
 from ploverhall.protocol.jobs import DONE
 from ploverhall.protocol.state import Refused, Unknown
 from ploverhall.reach.moves import Moves
@@ -36,10 +36,10 @@
 class Membership:
     """Which shards this node holds: its lease, claims, takeovers and hand-backs."""
 
-    def __init__(self, shared: Shared, hearing: Hearing, following: Following, roles: Roles, told: Told,
+    def __init__(self, shared: Shared, hearing: Hearing, following: Following, roles: Roles, cancellations: Cancellations,
                  ways: Ways, workers: Workers, all_up: Callable[[], bool]) -> None:
-        self.shared, self.hearing, self.following, self.roles, self.told, self.ways = shared, hearing, following, roles, told, ways
-        self.workers = workers
+        self.shared, self.hearing, self.following, self.roles, self.ways = shared, hearing, following, roles, ways
+        self.cancellations, self.workers = cancellations, workers
         s = shared.settings
         self.rights = Rights(s.cancel_s, s.lease_s, s.skew_s, s.options.cut_off_s)
         names = shared.layout.nodes
@@ -60,30 +60,35 @@
 
     def notice(self, now: float) -> None:
         """Which members' keys are there, and what they say."""
-        for name in self.told.members:
-            value, _ = self.shared.replica.keys.get(NODE + name, (None, 0))
+        for name in self.cancellations.members:
+            value, left = self.shared.replica.member(name)
             if not isinstance(value, dict):
-                self.told.gone(name, now)
+                self.cancellations.gone(name, now, left)
                 continue
             can, seen = value.get("can"), value.get("seen")
-            self.told.present(name, isinstance(can, list) and CAN in can, seen if isinstance(seen, int) else 0, now)
+            self.cancellations.present(name, isinstance(can, list) and CAN in can, seen if isinstance(seen, int) else 0)
 
     def may_tell(self, end: Ended) -> bool:
-        """Whether a user may be told how a job ended: of a cancellation, only once all know of it (see coordination.told)."""
+        """Whether a user may be told how a job ended: of a cancellation, only once all know of it (coordination.cancellations)."""
         if end.how == DONE:
             return True
-        return self.shared.replica.rev >= end.version and self.told.may_tell(end.version, self.shared.clock())
+        return self.shared.replica.rev >= end.version and self.cancellations.may_tell(end.version, self.shared.clock())
+
+    def may_archive(self, end: Ended) -> bool:
+        """Whether nobody can need to be told of a job's end any more who has not read the store since."""
+        return end.how == DONE or self.cancellations.may_forget(end.version, self.shared.clock())
 
     def isolated(self, now: float) -> bool:
-        """Whether others may have told a user of a cancellation that this node can't hear of.
+        """Whether others may have told a user of a cancellation that this node can't know of.
 
-        Then it stops answering workers early enough for their leases to run out within the time a cancellation has. In an
-        outage that every controller confirms, nobody can cancel: go on.
+        Then it stops answering workers early enough for their leases to run out within the time a cancellation has.
         """
-        read = self.following.read_at
-        if now - min(read, self.renewed) < self._fence():
-            return False
-        return not self.hearing.all_heard(now)
+        self._contact()
+        return self.cancellations.isolated(now, self._fence())
+
+    def _contact(self) -> None:
+        """Its own contact with the store: it has read everything, and its key was there."""
+        self.cancellations.contacted(min(self.following.read_at, self.renewed))
 
     def look_around(self, now: float) -> None:
         """Whether there is anybody besides this controller's workers: neither store nor peers for longer than its lease lives."""
@@ -93,11 +98,12 @@
 
     def _fence(self) -> float:
         """The long time only once it has read what came before the key that promises to wait with telling."""
-        return self.told.fence if self.following.read_at > self.granted else self.told.early
+        return self.cancellations.fence if self.following.read_at > self.granted else self.cancellations.early
 
     def right(self, now: float) -> int:
         """What tokens that leave now say of who may answer their workers later (coordination.afterlife)."""
-        return self.rights.given(now - min(self.following.read_at, self.renewed), self._fence(), self.shared.wall())
+        self._contact()
+        return self.rights.given(now - self.cancellations.contact(now), self._fence(), self.shared.wall())
 
     async def lease_loop(self) -> None:
         """Keep a lease and the key that shows this node is up."""
@@ -138,7 +144,7 @@
 
         Tethered to that lease: without one it would outlive the process, and be taken for it for ever.
         """
-        key, seen = NODE + self.shared.settings.name, self.shared.replica.rev
+        key, seen = NODE + self.shared.settings.name, max(self.shared.replica.rev, self.cancellations.informed)
         value = {"zone": self.shared.settings.zone, "can": [CAN, orders.CAN], "seen": seen}
         _, failed = await self.shared.store.txn({}, {key: value}, [], lease, frozenset({key}), urgent=True)
         if not failed:
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from ploverhall import log
-from ploverhall.bookkeeping.replica import RENTER
+from ploverhall.bookkeeping.replica import JOB, RENTER, end_record
 from ploverhall.control.carrying import Carrying
 from ploverhall.control.engine import Engine
 from ploverhall.control.following import Following
@@ -27,13 +27,14 @@
 from ploverhall.control.wire import Wire
 from ploverhall.control.workers import Workers
 from ploverhall.control.writing import Writing
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.fleet import Machine
 from ploverhall.coordination.owner import Owner
-from ploverhall.coordination.told import Told
 from ploverhall.log import where
 from ploverhall.protocol import carry
 from ploverhall.protocol.carry import Question
 from ploverhall.protocol.jobs import WITHDRAWN
+from ploverhall.protocol.peers import Cancelled
 from ploverhall.reach.ways import Ways
 from ploverhall.seams import Seams
 from ploverhall.settings import Settings
@@ -62,20 +63,25 @@
             rate=s.cloud_rps, refusals=False, repeatable=("/hosts",),
         )  # fmt: skip
         self.workers = Workers(shared, self.carrying, self._probe)
-        told = Told([p.name for p in s.peers], s.cancel_s, s.lease_s, s.options.cut_off_s, shared.clock())
+        self.cancellations = Cancellations(
+            [p.name for p in s.peers], s.cancel_s, s.lease_s, s.options.cut_off_s, shared.clock(), self.carrying.calls.life
+        )
         self.following = Following(shared, self.news, lambda begun: self.roles.proved(begun))
         self.roles = Roles(shared, self.routing, self._begin)
         self.membership = Membership(
-            shared, self.hearing, self.following, self.roles, told, self.ways, self.workers,
+            shared, self.hearing, self.following, self.roles, self.cancellations, self.ways, self.workers,
             lambda: len(self.links.up()) == len(s.peers)
         )
         self.writing = Writing(
-            shared, self.routing, current=self.following.current, news=self.news, may_tell=self.membership.may_tell, deposed=self._deposed
-        )
+            shared, self.routing, current=self.following.current, news=self.news,
+            may_archive=self.membership.may_archive, deposed=self._deposed,
+        )  # fmt: skip
         self.renting = Renting(shared, self.routing, lambda: self.membership.lease, self.cloud)
         self.view = View(shared, self.hearing, lambda: self.engine.short(), self._reach_view)
         self.telling = Telling(shared, self.view, lambda: self.links.up(), lambda name: self.links.poke(name))
-        self.links = Links(shared, self.hearing, self.routing, self.roles, self.telling, told, self.carrying)
+        self.links = Links(
+            shared, self.hearing, self.routing, self.roles, self.telling, self.cancellations, self.carrying, self._cancelled
+        )
         self.engine = Engine(
             shared, self.hearing, self.routing,
             poke=self.links.poke, ask=self.following.ask, stood_still=self._stood_still, right=self.membership.right,
@@ -134,6 +140,16 @@
     def _probe(self, name: str, addr: str) -> None:
         self.tasks.start_soon(self.workers.probe, name, addr)
 
+    def _cancelled(self, named: list[Cancelled]) -> None:
+        """Another controller has named jobs that are cancelled: they are over here, too, before the store has been read."""
+        replica = self.shared.replica
+        new = [c for c in named if c.version > replica.rev and c.job not in replica.ended]
+        for c in new:
+            replica.put_own(JOB + c.job, end_record(WITHDRAWN, 0), c.version)
+        if new:
+            log.info("cancelled jobs named by another controller", jobs=len(new), to=new[-1].version)
+            self.news()
+
     def _up(self, name: str) -> bool:
         return self.links.links[name].up
 
@@ -162,7 +178,11 @@
         shared, now = self.shared, self.shared.clock()
         ended, changed = shared.replica.ended, shared.replica.changed_jobs
         self.membership.notice(now)
-        cancelled = max((e.version for j in changed if (e := ended.get(j)) is not None and e.how == WITHDRAWN), default=0)
+        cancelled = 0
+        for j in changed:
+            if (e := ended.get(j)) is not None and e.how == WITHDRAWN:
+                self.cancellations.note(j, e.version)
+                cancelled = max(cancelled, e.version)
         if cancelled > shared.cancelled_rev:
             shared.cancelled_rev = cancelled  # the users' answers wait for everybody's word that it has been read
             self.links.poke(*self.links.links)
--- a/ploverhall/control/requests.py
+++ b/ploverhall/control/requests.py
@@ -169,7 +169,8 @@
     def _afterlife(self, r: Report, part: int, now: float) -> dict[str, Any] | None:
         """What a worker is answered whose part this controller held in an earlier life, before it holds it again; None: nothing."""
         replica = self.shared.replica
-        over = {key[0] for key in r.tasks() if key[0] not in replica.live} if replica.ready else ()
+        # what another controller has named as cancelled is over before the store has been read, too
+        over = {key[0] for key in r.tasks() if (key[0] in replica.ended or (replica.ready and key[0] not in replica.live))}
         answer = self.membership.rights.answer(r, self.shared.me, replica.holder(part)[1], over, self.shared.wall())
         if answer is not None and now - self.after_at > AFTER_S:
             log.info("answers for its earlier life", shard=part, epoch=tokens.epoch_of(r.token))
--- a/ploverhall/control/writing.py
+++ b/ploverhall/control/writing.py
@@ -39,9 +39,9 @@
     """What a source and an owner keep in the state service: cells, ends, images."""
 
     def __init__(self, shared: Shared, routing: Routing, *, current: Callable[[], Awaitable[bool]], news: Callable[[], None],
-                 may_tell: Callable[[Ended], bool], deposed: Callable[[int], None]) -> None:
+                 may_archive: Callable[[Ended], bool], deposed: Callable[[int], None]) -> None:
         self.shared, self.routing = shared, routing
-        self.current, self.news, self.may_tell = current, news, may_tell
+        self.current, self.news, self.may_archive = current, news, may_archive
         self.rules = Rules(shared.settings.options.budget)
         self.deposed = deposed  # a write was refused because another controller holds the shard
 
@@ -125,9 +125,9 @@
             if surplus <= 0 or not replica.ready or store.writes.wait(store.writes.burst) > 0:
                 continue
             oldest = islice(replica.ended.items(), surplus)
-            # what is archived may be told by whoever reads it there
+            # what is archived may be told by whoever reads it there, and is named to nobody any more
             old = ((j, e) for j, e in oldest if crc32(j.encode()) % len(s.nodes) == self.shared.me)
-            mine = list(islice(((j, e) for j, e in old if self.may_tell(e)), max(1, s.txn_ops // 2 - 1)))
+            mine = list(islice(((j, e) for j, e in old if self.may_archive(e)), max(1, s.txn_ops // 2 - 1)))
             if not mine:
                 continue
             puts: dict[str, Any] = {ARCHIVE + j: end_record(e.how, e.done) for j, e in mine}
--- a/ploverhall/coordination/afterlife.py
+++ b/ploverhall/coordination/afterlife.py
@@ -11,7 +11,7 @@
 - *ran_cancelled.* A user may be told of a cancellation that this life knows nothing of. Let `a` be when the worker was last answered
   by a life that knew. What that life had read by then, it has stopped with that answer. What it read later was told later than
   `a`: the worker must be gone by `a + cancel_s`, so be answered no later than `cancel_s - lease_s` after `a`. What it never read is
-  told `Told.patience` after its key went, which allows for answers until `fence` after its last sure contact. The earlier of the
+  told `Cancellations.patience` after its key went, which allows for answers until `fence` after its last sure contact. The earlier of the
   two is the worker's *right*, and every token says it: 0 stands for "cancel_s - lease_s from the answer on" while contact is sure, 255 for
   none, anything else for a time of day in steps of two seconds. A life that knows nothing hands the right on as it found it.
 
@@ -25,7 +25,7 @@
 from typing import Any
 
 from ploverhall.coordination import tokens
-from ploverhall.coordination.told import DRIFT
+from ploverhall.coordination.cancellations import DRIFT
 from ploverhall.protocol import workers
 from ploverhall.protocol.workers import EXITED, Report
 
--- a/ploverhall/coordination/alone.py
+++ b/ploverhall/coordination/alone.py
@@ -1,6 +1,6 @@
 """A controller that has lost the state service and every other controller, but not its workers: are they better off elsewhere?
 
-It may go on answering them for `cut_off_s` (coordination.told), and whoever has claimed its part meanwhile could serve them in full:
+It may go on answering them for `cut_off_s` (`cancellations`), and whoever has claimed its part meanwhile could serve them in full:
 start, stop, hear what has ended. But in a zone that is cut off nobody else can be reached, and a worker that tries two silent
 controllers is back after 11 s, which is longer than some leases. So a few scouts are sent first, to the controller after which
 workers try this one again: they are back within 6 s. If none of them comes back, somebody answers them, and the others follow with
--- a/ploverhall/protocol/peers.py
+++ b/ploverhall/protocol/peers.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, NamedTuple
 
+from ploverhall.protocol import jobs
 from ploverhall.protocol.workers import Key
 
 NOTICE_EMPTY = 3
@@ -95,6 +97,68 @@
     writes: float = 0.0  # changes a second made lately
 
 
+class Cancelled(NamedTuple):
+    """A job that its user has cancelled, and the revision of the store at which that was written."""
+
+    version: int
+    job: str
+
+
+class Word(NamedTuple):
+    """Controller to controller: what it knows of cancellations, and that it has heard the other (coordination.cancellations)."""
+
+    known: int  # it knows all cancellations up to this revision, and after this word so does whoever gets it
+    life: str  # of the sender's process; none in a release that says only what it knows
+    at: float  # the sender's steady clock
+    up: float  # seconds for which that life has run
+    read: bool  # it has read the store in this life
+    echo: tuple[str, float] | None  # life and clock of the receiver's newest word
+    cancelled: list[Cancelled]  # what the receiver may not know, by revision
+
+
+class Malformed(ValueError):
+    """A message that is not in its form."""
+
+
+MOST_CANCELLED = 1000  # named in one word
+
+
+def pack_word(w: Word) -> dict[str, Any]:
+    """As it is sent. A release before this one reads `seen`, and passes over the rest."""
+    return {"seen": w.known, "life": w.life, "at": w.at, "up": w.up, "read": w.read, "echo": w.echo, "cancelled": w.cancelled}
+
+
+def word(value: Any) -> Word:
+    """Check a word. Raises Malformed, naming the field."""
+    if not isinstance(value, dict):
+        raise Malformed("not a table")
+    known, life, echo, cancelled = value.get("seen"), value.get("life", ""), value.get("echo"), value.get("cancelled", [])
+    at, up, read = value.get("at", 0.0), value.get("up", 0.0), value.get("read", False)
+    if type(known) is not int or not 0 <= known < 1 << 64:
+        raise Malformed("seen")
+    if not isinstance(life, str) or len(life) > 64:
+        raise Malformed("life")
+    if not _time(at) or not _time(up) or up < 0:
+        raise Malformed("at")
+    if type(read) is not bool:
+        raise Malformed("read")
+    if echo is not None and not (isinstance(echo, (list, tuple)) and len(echo) == 2 and isinstance(echo[0], str) and _time(echo[1])):
+        raise Malformed("echo")
+    if not isinstance(cancelled, (list, tuple)) or len(cancelled) > MOST_CANCELLED:
+        raise Malformed("cancelled")
+    named = []
+    for one in cancelled:
+        if not (isinstance(one, (list, tuple)) and len(one) == 2 and type(one[0]) is int and 0 < one[0] < 1 << 64
+                and isinstance(one[1], str) and jobs.ID.match(one[1])):  # fmt: skip
+            raise Malformed("cancelled")
+        named.append(Cancelled(one[0], one[1]))
+    return Word(known, life, float(at), float(up), read, (echo[0], float(echo[1])) if echo is not None else None, named)
+
+
+def _time(value: Any) -> bool:
+    return type(value) in (int, float) and math.isfinite(value)
+
+
 def job_key(job: str) -> str:
     """Key of a JobNews."""
     return JOB + job
--- a/scripts/days.py
+++ b/scripts/days.py
@@ -2,12 +2,15 @@
 
     python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR [--tree CHECKOUT]... [--drawn 30] [--seed 1] [--jobs 6]
     python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR --table [--tree BEFORE --tree AFTER]
+    python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR --meetings 20 [--only gap]
 
 `--drawn N` makes N copies of the site, each with 2 to 7 controllers, 1 to 4 zones (at least 2 where jobs are spread; uneven ones,
 sometimes one without a controller), 0.5 to 1.5 times the machines and arrivals, processes back after 0.1 to 6 s, and one day on
 each. Number I of a seed is always the same copy and day. `--table` plays the fixed days that fast restarts were first measured by
-(1.5 times the machines, back in 0.3 s). Days are played without charging the processor unless `--charge` is given, so that a day
-mostly repeats; a day whose figures lie in DIR already is not played again.
+(1.5 times the machines, back in 0.3 s). `--meetings N` makes N days on which two or three troubles meet, three times a day, while
+half to four fifths of an array class is cancelled: every third one the gap (a controller is refused or cut off, and then the state
+service is down for everybody for longer than `cancel_s`), the others drawn by `meeting`. Days are played without charging the
+processor unless `--charge` is given, so that a day mostly repeats; a day whose figures lie in DIR already is not played again.
 
 What is judged, of a played day: rules; the least share of any class or team, and of any class's largest jobs, that is served, and how
 soon those begin (`scripts.served`); restarts by themselves.
@@ -116,6 +119,73 @@
     return sorted(out, key=lambda f: f["at_s"])
 
 
+def _cut(rng: Random, **more: Any) -> dict[str, Any]:
+    """One controller loses something."""
+    return {"kind": "node_cut", "count": 1, "busiest": rng.random() < 0.8, "mode": rng.choice(["refuse", "hold", "reset"]), **more}
+
+
+def gap(site: dict[str, Any], rng: Random) -> list[tuple[float, dict[str, Any]]]:
+    """The state service refuses one controller (or it is cut off), then it is down for all for longer than `cancel_s`."""
+    before, s = rng.choice([1.5, 2.0, 3.5, 5.0, 6.0, 8.0, 12.0, 20.0]), site["workers"]["cancel_s"] + rng.choice([4.0, 12.0, 20.0])
+    peers = {"from_peers": True} if rng.random() < 0.5 else {}
+    first = _cut(rng, from_state=True, for_s=before + rng.choice([0.5, 3.0, 12.0]), **peers)
+    if peers and first["mode"] == "refuse":
+        first["mode"] = "hold"
+    out = [(0.0, first), (before, {"kind": "state_outage", "for_s": s})]
+    if rng.random() < 0.4:
+        out.append((before + s * rng.random(), {"kind": "node_crash", "count": rng.choice([1, 1, 2]), "busiest": rng.random() < 0.5}))
+    return out
+
+
+def meeting(site: dict[str, Any], rng: Random) -> list[tuple[float, dict[str, Any]]]:
+    """One of the operators' other meetings: seconds from its begin, and the trouble."""
+    nodes, machines, lease = site["nodes"]["count"], sum(c["count"] for c in site["capacity"]), site["workers"]["lease_s"]
+    s, soon = rng.choice([8.0, 20.0, 40.0]), 6.0 * rng.random()
+    crash = {"kind": "node_crash", "count": rng.choice([1, 1, 2, nodes]), "busiest": rng.random() < 0.7}
+    deaf = {"kind": "machine_deaf", "for_s": rng.choice([0.7, 1.5, 3.0]) * lease,
+            **rng.choice([{"share": 0.15}, {"count": max(1, machines // 10)}, {"zone": rng.choice(site["capacity"])["zone"]}])}  # fmt: skip
+    late = {"kind": rng.choice(["late_writes", "late_reports"]), "share": rng.choice([0.1, 0.3, 0.6]), "for_s": s + 10.0}
+    hang = {"kind": "machine_hang", "count": max(1, machines // 12), "for_s": rng.choice([0.5, 0.9, 2.0]) * lease}
+    alone = _cut(rng, from_state=True, from_peers=True, for_s=s, mode=rng.choice(["hold", "reset"]))
+    outage = {"kind": "state_outage", "for_s": rng.choice([5.0, 15.0, 30.0])}
+    freeze = {"kind": "node_freeze", "count": 1, "busiest": rng.random() < 0.8, "for_s": rng.choice([3.0, 12.0, 22.0])}
+    return rng.choice([
+        [(0.0, {"kind": "node_roll", "every_s": rng.choice([2.0, 10.0])}), (soon, crash)],
+        [(0.0, crash), (soon, crash), (soon + 3.0, outage)],
+        [(0.0, late), (soon, crash)],
+        [(0.0, late), (soon, alone)],
+        [(0.0, late), (soon, outage), (soon + 4.0, crash)],
+        [(0.0, alone), (soon, {**_cut(rng, from_workers=True, for_s=s), "mode": "hold"})],
+        [(0.0, alone), (soon, crash)],
+        [(0.0, deaf), (soon, crash)],
+        [(0.0, deaf), (soon, late)],
+        [(0.0, hang), (soon, crash), (soon + 4.0, freeze)],
+        [(0.0, freeze), (soon, late), (soon + 2.0, crash)],
+    ])  # fmt: skip
+
+
+def met(file: Path, seed: int, i: int) -> Day:
+    """Number I of a seed: three meetings on one day, while many arrays are cancelled; every third day is one of gaps."""
+    rng, site = Random(f"met {seed} {i}"), bare(file)
+    times, delay = rng.choice([0.5, 1.0, 1.0, 1.5]), rng.choice(DELAYS)
+    scaled(site, times)
+    site["nodes"]["restart_delay_s"] = delay
+    cancel, draw = site["workers"]["cancel_s"], gap if i % 3 == 0 else meeting
+    faults: list[dict[str, Any]] = []
+    at = site["warmup_s"] * rng.uniform(0.6, 1.0)
+    while at < 0.62 * site["duration_s"]:
+        here = draw(site, rng)
+        faults += [{"at_s": round(at + after, 1), **f} for after, f in here]
+        at += max(after + f.get("for_s", 0.0) for after, f in here) + rng.uniform(15.0, 45.0)
+    array = next(j for j in site["jobs"] if j["kind"] == "array")
+    jobs = [{"name": array["name"], "cancelled": rng.choice([0.5, 0.8]),
+             "run_s": {"median": 2.4 * cancel, "p95": 3.0 * cancel, "max": 3.4 * cancel}}]  # fmt: skip
+    name = f"{draw.__name__}-{seed}-{i}"
+    site["day"] = [{"name": name, "slot": "scale", "light": True, "seed": 2000 + i, "jobs": jobs, "faults": faults}]
+    kinds = " ".join(f["kind"] for f in faults)
+    return Day(name, f"x{times:g}, back in {delay:g} s: {kinds}", site)
+
+
 def bare(file: Path) -> dict[str, Any]:
     """A site without its own days."""
     site = tomllib.loads(file.read_text())
@@ -238,10 +308,12 @@
     p.add_argument("--first", type=int, default=0, help="from this number on")
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--table", action="store_true", help="the fixed days")
+    p.add_argument("--meetings", type=int, default=0, help="so many days on which troubles meet")
     p.add_argument("--charge", action="store_true", help="charge the processor, as a score does")
     args = p.parse_args()
     bench, wire = str(Path(args.bench).resolve()), args.site.resolve().parent / bare(args.site)["wire"]
     days = [drawn(args.site, args.seed, i) for i in range(args.first, args.first + args.drawn)] + (table(args.site) if args.table else [])
+    days += [met(args.site, args.seed, i) for i in range(args.first, args.first + args.meetings)]
     days = [d for d in days if args.only in d.name]
     heads = {"day": lambda d: d.name, "copy": lambda d: d.copy}
     played = trees.side_by_side(args, days, heads, COLUMNS, lambda d, t, out: play(bench, t, d, wire, out, args.charge))
--- a/tests/played.py
+++ b/tests/played.py
@@ -301,6 +301,8 @@
         self.broken: list[str] = []
         self.settled_at = 0.0
         self.copies = 0  # reports that came a second time
+        self.late_writes = 0.0  # the share of transactions that get no answer and are carried out 2 to 12 s later
+        self.late = Random(seed + 9)
 
     @property
     def now(self) -> float:
@@ -346,10 +348,33 @@
         async def handle(q: Request) -> Reply:
             if name in self.refused:
                 return Reply(503, {"error": "trouble"})
+            if q.path == "/multi" and not self.state.down and self.late.random() < self.late_writes:
+                self.tasks.start_soon(self._write_late, q)
+                await anyio.sleep(20.0)  # no answer: whoever asked has given up by then
             return await self.state.handle(q)
 
         return handle
 
+    async def _write_late(self, q: Request) -> None:
+        await anyio.sleep(2.0 + 10.0 * self.late.random())
+        await self.state.handle(q)
+
+    async def outage(self, s: float) -> None:
+        """The state service refuses everybody for so long; after that every lease has its full time again."""
+        self.state.down_until = max(self.state.down_until, self.now + s)
+        while self.now < self.state.down_until:
+            self.state.down = True
+            await anyio.sleep(self.state.down_until - self.now)
+        self.state.up_again()
+
+    def calm(self) -> None:
+        """All troubles are over from now on."""
+        self.refused.clear()
+        self.net.cuts.clear()
+        self.late_writes, self.fleet.sent = 0.0, None
+        self.state.down_until = min(self.state.down_until, self.now)
+        self.state.up_again()
+
     def boot(self, name: str) -> None:
         """Start a controller."""
         self.tasks.start_soon(self._live, name)
@@ -477,6 +502,8 @@
         stance = answer["stance"]
         if (before is not None and stance != before) or (stance == "withdrawn" and jid not in self.withdrawing):
             self.broken.append(f"went_back: {jid} was {before} and is {stance} by {name} at {self.now}")
+        if stance == "done" and any((jid, i) not in self.fleet.results for i in range(self.specs[jid].n)):
+            self.broken.append(f"not_done: {jid} by {name} at {self.now}")
         if stance in ("done", "withdrawn"):
             self.told[jid] = stance
         return True
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -30,6 +30,13 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.tied: dict[str, int] = {}
         self.down = False
+        self.down_until = 0.0
+
+    def up_again(self) -> None:
+        """An outage is over: each lease gets its full time again."""
+        if self.down:
+            self.down = False
+            self.leases = {x: (ttl, self.clock() + ttl) for x, (ttl, _) in self.leases.items()}
 
     def expire(self) -> None:
         now = self.clock()
@@ -76,6 +83,8 @@
                 if news or self.clock() >= until:
                     break
                 await anyio.sleep(0.01)
+                while self.down:  # an open watch stays open, and no lease ends
+                    await anyio.sleep(0.1)
                 self.expire()
             return Reply(200, {"moult": s.rev, "news": [
                 {"put": e.key, "v": e.value, "feather": e.version} if e.value is not None else {"delete": e.key, "feather": e.version}
--- a/tests/test_afterlife.py
+++ b/tests/test_afterlife.py
@@ -18,7 +18,7 @@
 from ploverhall import settings
 from ploverhall.coordination import afterlife, tokens
 from ploverhall.coordination.afterlife import NONE, SURE, Rights
-from ploverhall.coordination.told import DRIFT
+from ploverhall.coordination.cancellations import DRIFT
 
 from . import world
 from .played import HOLD, SILENT, Played, play
@@ -85,8 +85,7 @@
             for name in which:
                 p.tasks.start_soon(p.crash, name, 0.2)
         await anyio.sleep(7.0)
-        p.state.leases = {x: (ttl, p.now + ttl) for x, (ttl, _) in p.state.leases.items()}  # each gets its full time again
-        p.state.down = False
+        p.state.up_again()
         await anyio.sleep(30.0)
         assert p.fleet.killed_by_lease == 0 and all(a.accepted is not None for a in p.asked.values())
 
--- a/tests/test_asked.py
+++ b/tests/test_asked.py
@@ -16,7 +16,7 @@
 from ploverhall import settings
 from ploverhall.bookkeeping.replica import JOB, Replica
 from ploverhall.control import requests
-from ploverhall.coordination.told import Told
+from ploverhall.coordination.cancellations import Cancellations
 
 from .played import HOLD, RESET, Played, play
 from .test_carry import busy
@@ -77,7 +77,7 @@
 
     play(scene)
     for cancel, lease in [(35.0, 10.0), (46.0, 26.0), (20.0, 19.0), (300.0, 10.0)]:
-        assert Told(["x"], cancel, lease, 60.0, 0.0).patience + 4.0 < KNOWN_S
+        assert Cancellations(["x"], cancel, lease, 60.0, 0.0).patience + 4.0 < KNOWN_S
 
 
 def test_a_record_that_cant_be_read_keeps_no_other_job_unanswered() -> None:
--- /dev/null
+++ b/tests/test_cancellations.py
@@ -0,0 +1,426 @@
+"""Cancellations are told when nobody who does not know of them can still be answering workers."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ploverhall.coordination.cancellations import MOST_NAMED, Cancellations
+from ploverhall.protocol.peers import Cancelled, Malformed, Word, pack_word, word
+
+CANCEL, LEASE, CUT_OFF = 46.0, 16.0, 60.0
+
+
+def cancellations(now: float = 0.0) -> Cancellations:
+    return Cancellations(["c1", "c2"], CANCEL, LEASE, CUT_OFF, now, "me")
+
+
+def known(name: str, upto: int) -> Word:
+    """A member's word that says no more than how far it has read."""
+    return Word(upto, "its life", 0.0, 100.0, True, None, [])
+
+
+def test_everybody_must_know_of_it_or_be_gone_for_long_enough() -> None:
+    t = cancellations()
+    assert not t.may_tell(7, 1.0), "a controller that has just started knows nobody"
+    for name in ("c1", "c2"):
+        t.present(name, True, 0)
+    t.take("c1", known("c1", 9), 1.0)
+    assert t.waits_for(7, 1.0) == ["c2"] and not t.may_tell(7, 1.0)
+    for upto in (6, 8, 3):
+        t.take("c2", known("c2", upto), 1.0)
+    assert t.may_tell(7, 1.0) and t.may_tell(8, 1.0) and not t.may_tell(9, 1.0)
+    t.gone("c2", 10.0, 20)
+    t.gone("c2", 30.0, 20)
+    assert t.may_tell(8, 10.0), "what it knew before it went stays known"
+    assert not t.may_tell(9, 10.0 + t.patience - 0.1) and t.may_tell(9, 10.0 + t.patience)
+    t.present("c2", True, 0)
+    assert not t.may_tell(9, 60.0), "it is back, and has not said what it knows"
+
+
+def test_a_key_that_came_and_went_between_two_looks_is_gone_anew() -> None:
+    """A controller that reads seldom sees it gone before and after; in between its member was there, and may have read nothing since."""
+    t = cancellations()
+    t.take("c1", known("c1", 9), 0.0)
+    t.gone("c2", 0.0, 5)
+    assert t.may_tell(9, t.patience + 0.1)
+    t.gone("c2", 100.0, 8)
+    assert not t.may_tell(9, 100.1) and t.may_tell(9, 100.1 + t.patience)
+
+
+def test_who_has_been_answered_is_owed_and_who_knows_is_told_at_once() -> None:
+    """In an outage: its key is gone and it goes on; a word with the cancellation ends the waiting, and nothing else does."""
+    p, m = Cancellations(["m"], CANCEL, LEASE, CUT_OFF, 0.0, "p"), Cancellations(["p"], CANCEL, LEASE, CUT_OFF, 0.0, "m")
+    for one, other in ((p, "m"), (m, "p")):
+        one.present(other, True, 5)
+        one.contacted(1.0)
+    p.gone("m", 4.0, 6)
+    p.note("j-000001", 7)
+    for now in range(10, 200):
+        p.take("m", m.word("p", 5, float(now)), float(now))
+        said = p.word("m", 7, float(now))
+        assert not p.may_tell(7, float(now)), "it answers, so it is owed"
+        assert said.cancelled == [Cancelled(7, "j-000001")]
+    assert m.isolated(200.0, m.fence)
+    assert m.take("p", said, 200.0) == [Cancelled(7, "j-000001")]
+    assert m.lapsed, "for longer than a lease after its fence: the other may have forgotten what it should know"
+    m.contacted(199.5)
+    assert not m.isolated(200.0, m.fence)
+    p.take("m", m.word("p", 5, 200.0), 200.0)
+    assert p.may_tell(7, 200.0) and not p.own, "it knows, so the user is told at once, and nobody has to be named it any more"
+
+
+def test_a_new_life_that_has_read_nothing_vouches_only_for_what_its_last_one_owed() -> None:
+    m = Cancellations(["p"], CANCEL, LEASE, CUT_OFF, 0.0, "m")
+    m.present("p", True, 0)
+    m.contacted(10.0)
+
+    def echo(now: float, up: float, read: bool) -> None:
+        m.take("p", Word(0, "p2", 1.0, up, read, ("m", now - 0.1), []), now)
+
+    echo(35.0, 5.0, False)
+    assert m.contact(35.0) == 34.9, "it ended within patience: whatever it had confirmed is known here"
+    echo(75.0, 5.0, False)
+    assert m.contact(75.0) == 34.9, "its last life may have confirmed something after it owed nothing more"
+    echo(80.0, 10.0, True)
+    assert m.contact(80.0) == 79.9, "it has read, so all that was confirmed has been named"
+    m.take("p", Word(0, "p2", 1.0, 50.0, True, ("an earlier life of m", 89.0), []), 90.0)
+    m.take("p", Word(0, "p2", 1.0, 50.0, True, ("m", 95.0), []), 90.0)
+    assert m.contact(90.0) == 79.9, "neither an earlier life's word nor one that was never sent"
+
+
+def test_many_cancellations_go_in_portions_and_only_the_last_one_answers() -> None:
+    p, m = Cancellations(["m"], CANCEL, LEASE, CUT_OFF, 0.0, "p"), Cancellations(["p"], CANCEL, LEASE, CUT_OFF, 0.0, "m")
+    n = 2 * MOST_NAMED + 5
+    for i in range(n, 0, -1):
+        p.note(f"j-{i:06d}", 10 + i)
+        p.note(f"j-{i:06d}", 10 + i)
+    named: list[Cancelled] = []
+    for now in (1.0, 2.0, 3.0):
+        p.take("m", m.word("p", 5, now), now)
+        said = p.word("m", 10 + n, now)
+        assert (said.echo is None) == (now < 3.0)
+        named += m.take("p", said, now)
+    assert [c.version for c in named] == [11 + i for i in range(n)]
+    assert m.informed == 10 + n and m.members["p"].sure == 3.0
+
+
+def test_while_a_release_that_tells_at_once_is_about_the_old_time_holds() -> None:
+    t = cancellations()
+    t.present("c1", True, 0)
+    assert t.fence == t.early == CANCEL - LEASE - 8.0, "c2 has never been seen"
+    t.present("c2", False, 0)
+    assert t.fence == t.early
+    t.take("c1", known("c1", 5), 1.0)
+    assert t.may_tell(5, 2.0), "and that one stops by the old time: nothing has to wait for it"
+    t.present("c2", True, 0)
+    assert t.fence == CUT_OFF and not t.may_tell(5, 2.0)
+
+
+def test_a_release_that_takes_hearing_for_contact_is_owed_for_as_long_as_it_is_heard() -> None:
+    t = cancellations()
+    t.take("c1", known("c1", 9), 0.0)
+    t.gone("c2", 0.0, 5)
+    for now in range(1, 100):
+        t.take("c2", word({"seen": 3}), float(now))
+    assert not t.may_tell(9, 99.0 + t.patience - 0.1) and t.may_tell(9, 99.1 + t.patience)
+
+
+@pytest.mark.parametrize("value", [
+    None, [], "x", {}, {"seen": -1}, {"seen": True}, {"seen": 1 << 64}, {"seen": 5, "life": 3}, {"seen": 5, "life": "x" * 65},
+    {"seen": 5, "at": float("nan")}, {"seen": 5, "at": "1"}, {"seen": 5, "up": -1.0}, {"seen": 5, "up": float("inf")},
+    {"seen": 5, "read": 1}, {"seen": 5, "echo": ["x"]}, {"seen": 5, "echo": [1, 2.0]}, {"seen": 5, "echo": ["x", None]},
+    {"seen": 5, "cancelled": [[1 << 64, "j-000001"]]}, {"seen": 5, "cancelled": [[True, "j-000001"]]},
+    {"seen": 5, "cancelled": [[0, "j-000001"]]}, {"seen": 5, "cancelled": [[3, "x"]]},
+    {"seen": 5, "cancelled": [[3, "j-000001\nforged"]]}, {"seen": 5, "cancelled": [3]}, {"seen": 5, "cancelled": {"a": 1}},
+    {"seen": 5000, "cancelled": [[3, "j-000001"]] * 1001},
+])  # fmt: skip
+def test_words_that_are_in_no_form_are_refused(value: Any) -> None:
+    with pytest.raises(Malformed):
+        word(value)
+
+
+@given(st.integers(0, 1 << 40), st.lists(st.integers(1, 999_999), max_size=5), st.booleans(), st.booleans())
+def test_a_word_comes_as_it_was_sent(upto: int, jobs: list[int], read: bool, echoes: bool) -> None:
+    named = [Cancelled(upto, f"j-{j:06d}") for j in jobs] if upto else []
+    w = Word(upto, "life", 1.5, 2.5, read, ("other", 0.5) if echoes else None, named)
+    assert word(pack_word(w)) == w
+
+
+# -- the plain model: three controllers, their clocks, the store and the links ------------------
+
+STEP, KEY_S = 0.25, 4.0
+
+
+@dataclass
+class Life:
+    """One controller: what survives a restart is only its name, its clock and when it may go on."""
+
+    name: str
+    drift: float
+    offset: float
+    it: Cancellations
+    lives: int = 0
+    rev: int = 0
+    knows: set[int] = field(default_factory=set)
+    lease: bool = False
+    renewed: float = -1e9
+    read_at: float = -1e9
+    granted: float = 0.0
+    asleep: float = 0.0  # until then it does nothing, and what comes waits
+    unread: list[tuple[str, Any]] = field(default_factory=list)
+
+
+class Model:
+    """Every controller answers workers whenever it believes that it may; each cancellation is told by whoever may tell first."""
+
+    def __init__(self, rng: Random, cancel: float, lease: float, cut_off: float) -> None:
+        self.rng, self.cancel, self.lease, self.cut_off = rng, cancel, lease, cut_off
+        self.t = 0.0
+        self.rev = 10
+        self.log: list[tuple[int, str, str]] = []  # revision, what, of whom
+        self.keys: dict[str, float] = {}  # until when a controller's lease runs
+        self.written: dict[int, float] = {}
+        self.told: dict[int, float] = {}
+        self.answered: dict[int, float] = {}  # when somebody last answered workers who did not know of it
+        self.down: list[tuple[float, float]] = []  # of the store
+        self.refused: list[tuple[str, float, float]] = []
+        self.links: list[tuple[str, str, float, float, bool]] = []  # from, to, since, until, whether it holds things back
+        self.flying: list[tuple[float, int, str, str, Any]] = []
+        self.count = 0
+        self.nodes = {n: self.born(n, rng.uniform(0.0, 0.0005), rng.uniform(0.0, 1000.0), 0) for n in ("a", "b", "c")}
+
+    def born(self, name: str, drift: float, offset: float, lives: int) -> Life:
+        now = offset + self.t * (1 + drift)
+        others = [n for n in ("a", "b", "c") if n != name]
+        return Life(name, drift, offset, Cancellations(others, self.cancel, self.lease, self.cut_off, now, f"{name}{lives}"), lives)
+
+    def reaches(self, n: Life) -> bool:
+        return not any(s <= self.t < e for s, e in self.down) and not any(x == n.name and s <= self.t < e for x, s, e in self.refused)
+
+    def put(self, what: str, name: str) -> None:
+        self.rev += 1
+        self.log.append((self.rev, what, name))
+
+    def cancel_one(self) -> None:
+        if reach := [n for n in self.nodes.values() if self.reaches(n)]:
+            w = self.rng.choice(reach)
+            self.put("cancel", w.name)
+            self.written[self.rev] = self.t
+            w.knows.add(self.rev)
+            w.it.note(f"j-{self.rev:06d}", self.rev)
+
+    def run(self, seconds: float, crashes: list[tuple[float, str]], pauses: list[tuple[float, str, float]], cancels: list[float]) -> None:
+        while self.t < seconds:
+            self.t += STEP
+            while cancels and cancels[0] <= self.t:
+                cancels.pop(0)
+                self.cancel_one()
+            while crashes and crashes[0][0] <= self.t:
+                old = self.nodes[crashes.pop(0)[1]]
+                self.nodes[old.name] = self.born(old.name, old.drift, old.offset, old.lives + 1)
+            while pauses and pauses[0][0] <= self.t:
+                _, name, s = pauses.pop(0)
+                self.nodes[name].asleep = self.t + s
+            down = any(s <= self.t < e for s, e in self.down)
+            for name, until in list(self.keys.items()):
+                if down:
+                    self.keys[name] = self.t + KEY_S  # each lease gets its full time again
+                elif until < self.t:
+                    del self.keys[name]
+                    self.put("left", name)
+            while self.flying and self.flying[0][0] <= self.t:
+                _, _, src, dst, packed = heapq.heappop(self.flying)
+                self.nodes[dst].unread.append((src, packed))
+            for n in self.nodes.values():
+                if self.t >= n.asleep:
+                    self.step(n)
+            for version, at in self.told.items():
+                if (late := self.answered.get(version, -1e9)) + self.lease > at + self.cancel:
+                    raise AssertionError(f"told at {at}, and workers that did not know were answered at {late}")
+
+    def step(self, n: Life) -> None:
+        now = n.offset + self.t * (1 + n.drift)
+        parts: list[Callable[[Life, float], None]] = [self.hear, self.serve, self.store, self.tell]
+        self.rng.shuffle(parts)  # after a pause, too, in any order
+        for part in parts:
+            part(n, now)
+        if int(self.t / STEP) % 2 == 0:
+            for other in n.it.members:
+                self.send(n, other, pack_word(n.it.word(other, n.rev, now)))
+
+    def send(self, n: Life, other: str, packed: Any) -> None:
+        at = self.t + 0.05 + 0.2 * self.rng.random()
+        for src, dst, s, e, holds in self.links:
+            if (src, dst) == (n.name, other) and s <= self.t < e:
+                if not holds:
+                    return
+                at = max(at, e)
+        self.count += 1
+        heapq.heappush(self.flying, (at, self.count, n.name, other, packed))
+
+    def hear(self, n: Life, now: float) -> None:
+        for src, packed in n.unread:
+            for one in n.it.take(src, word(packed), now):
+                n.knows.add(one.version)
+                n.it.note(one.job, one.version)
+        n.unread.clear()
+
+    def serve(self, n: Life, now: float) -> None:
+        if not n.rev:
+            return  # it holds nothing before it has read
+        n.it.contacted(min(n.read_at, n.renewed))
+        if not n.it.isolated(now, n.it.fence if n.read_at > n.granted else n.it.early):
+            for version in self.written:
+                if version not in n.knows:
+                    self.answered[version] = self.t
+
+    def store(self, n: Life, now: float) -> None:
+        if not self.reaches(n):
+            return
+        if n.lease and n.name not in self.keys:
+            n.lease = False
+        if n.lease:
+            self.keys[n.name] = self.t + KEY_S
+            n.renewed = now
+        elif self.rng.random() < 0.5:
+            if n.name not in self.keys:
+                self.put("came", n.name)
+            self.keys[n.name] = self.t + KEY_S
+            n.lease, n.granted, n.renewed = True, now, now
+        if self.rng.random() < 0.7:
+            self.read(n, now)
+
+    def read(self, n: Life, now: float) -> None:
+        first = not n.rev
+        for version, what, _ in self.log:
+            if version > n.rev and what == "cancel":
+                n.knows.add(version)
+                n.it.note(f"j-{version:06d}", version)
+        n.rev, n.read_at = self.rev, now
+        for name in n.it.members:
+            if name in self.keys:
+                n.it.present(name, True, 0)
+            else:
+                left = max((v for v, what, x in self.log if what == "left" and x == name), default=0)
+                n.it.gone(name, now, self.rev if first else left)
+
+    def tell(self, n: Life, now: float) -> None:
+        for version in self.written:
+            if version not in self.told and version in n.knows and n.rev >= version and n.it.may_tell(version, now):
+                self.told[version] = self.t
+
+
+def modelled(seed: int) -> Model:
+    """One drawn life of all three, in which the store is down for long at least once and a controller is refused just before."""
+    rng = Random(seed)
+    cancel, lease = rng.choice([(46.0, 16.0), (38.0, 13.0), (30.0, 25.0)])
+    m = Model(rng, cancel, lease, rng.choice([20.0, 60.0, 300.0]))
+    names = ["a", "b", "c"]
+    cancels: list[float] = []
+    crashes: list[tuple[float, str]] = []
+    pauses: list[tuple[float, str, float]] = []
+    at = 20.0
+    for _ in range(3):
+        leader = rng.choice(names)
+        before, s = rng.choice([0.5, 2.0, 5.0, 7.0, 12.0, 30.0]), rng.choice([5.0, cancel, cancel + 30.0, 110.0])
+        m.refused.append((leader, at, at + before + rng.choice([0.5, 10.0, 60.0])))
+        m.down.append((at + before, at + before + s))
+        cancels += [at + rng.uniform(0.0, before + 1.0) for _ in range(3)] + [at + before + s + rng.uniform(0.0, 5.0)]
+        for src in names:
+            for dst in names:
+                if src != dst and rng.random() < (0.6 if leader in (src, dst) else 0.15):
+                    since = at + rng.uniform(-5.0, before + s)
+                    m.links.append((src, dst, since, since + rng.choice([2.0, 10.0, 40.0, 90.0]), rng.random() < 0.5))
+        for _ in range(rng.choice([0, 1, 3])):
+            crashes.append((at + rng.uniform(0.0, before + s), rng.choice(names)))
+        for _ in range(rng.choice([0, 1, 2])):
+            pauses.append((at + rng.uniform(0.0, before + s), rng.choice(names), rng.choice([1.0, 8.0, 25.0, 45.0])))
+        at += before + s + 20.0
+    m.run(at + 60.0, sorted(crashes), sorted(pauses), sorted(cancels))
+    return m
+
+
+def scene(guard: str) -> Model:
+    """A controller c that is refused, and what makes one guard necessary, when it is not drawn often enough."""
+    m = Model(Random(1), CANCEL, LEASE, CUT_OFF)
+    both = [(x, y) for x in "ab" for y in (x + "c", "c" + x)]
+    crashes: list[tuple[float, str]] = []
+    if guard == "left":  # c is back while a can't read, reads for the last time, and is gone again before a does
+        m.refused = [("c", 20.0, 62.0), ("a", 60.0, 75.0), ("c", 70.0, 300.0)]
+        m.links = [(y[0], y[1], 0.0, 300.0, False) for _, y in both]
+        cancel = 72.0
+    elif guard == "echo":  # the others' answers are held up for as long as they owe, and c can't be heard any more
+        m.refused = [("c", 20.0, 300.0)]
+        m.links = [("c", x, 40.0, 300.0, False) for x in "ab"] + [(x, "c", 39.5, 95.0, True) for x in "ab"]
+        m.links += [(x, "c", 43.0, 300.0, False) for x in "ab"]
+        cancel = 45.0
+    else:  # both others tell, end, and come back where there is no store to read
+        m.refused, m.down = [("c", 20.0, 300.0)], [(60.0, 200.0)]
+        m.links = [(y[0], y[1], 20.0, 62.0, False) for _, y in both]
+        crashes = [(60.5, "a"), (60.5, "b")]
+        cancel = 22.0
+    m.run(250.0, crashes, [], [cancel])
+    assert m.told, "nothing was judged"
+    return m
+
+
+SEEDS, SCENES = 60, ("left", "echo", "lives")
+
+
+def test_no_task_outlives_its_time_in_the_plain_model() -> None:
+    """Refusals, outages, links that are lost or held, pauses, restarts, clocks that drift: drawn over three controllers.
+
+    The teller's argument and the answerer's right are one statement (coordination.cancellations); this is what it has to give.
+    """
+    told = sum(len(modelled(seed).told) for seed in range(SEEDS))
+    assert told > 4 * SEEDS, "hardly anything was told: nothing was judged"
+
+
+@pytest.mark.parametrize("guard", SCENES)
+def test_no_task_outlives_its_time_where_a_guard_is_needed(guard: str) -> None:
+    scene(guard)
+
+
+@pytest.mark.parametrize("guard", ["owed", "named", "echo", "all heard", "lives", "left", "lapsed"])
+def test_the_plain_model_breaks_without_each_part_of_the_statement(guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    real_word, real_take, real_gone = Cancellations.word, Cancellations.take, Cancellations.gone
+    if guard == "owed":  # answered, and not counted
+        monkeypatch.setattr(Cancellations, "_owed", lambda self, m: m.absent)
+    elif guard == "named":  # answered without the cancellations
+        monkeypatch.setattr(Cancellations, "word", lambda *a: real_word(*a)._replace(cancelled=[]))
+    elif guard == "echo":  # what came back counts from when it came
+        monkeypatch.setattr(Cancellations, "take", lambda s, n, w, now: real_take(s, n, w._replace(echo=w.echo and (w.echo[0], now)), now))
+    elif guard == "all heard":  # as it was: in an outage, who hears everybody goes on
+
+        def isolated(self: Cancellations, now: float, fence: float) -> bool:
+            return now - self.read_at >= fence and any(now - m.word[1] > 2.5 for m in self.heard.values())  # type: ignore[attr-defined]
+
+        def heard(self: Cancellations, name: str, w: Word, now: float) -> list[Cancelled]:
+            self.__dict__.setdefault("heard", {n: type("H", (), {"word": ("", -1e9)})() for n in self.members})[name].word = ("", now)
+            return real_take(self, name, w._replace(echo=None, cancelled=[]), now)
+
+        monkeypatch.setattr(Cancellations, "isolated", lambda s, now, fence: isolated(s, now, fence) if hasattr(s, "heard") else True)
+        monkeypatch.setattr(Cancellations, "take", heard)
+    elif guard == "lives":  # a new life's echo counts, whatever its last one may have told
+        monkeypatch.setattr(Cancellations, "take", lambda s, n, w, now: real_take(s, n, w._replace(up=1e9), now))
+    elif guard == "left":
+        monkeypatch.setattr(Cancellations, "gone", lambda s, n, now, left=0: real_gone(s, n, now, -1))
+    else:
+        monkeypatch.setattr(Cancellations, "may_forget", lambda *a: True)
+        monkeypatch.setattr(Cancellations, "_over", lambda s, m, now: m.absent is not None)
+        monkeypatch.setattr(Cancellations, "lapsed", property(lambda s: False, lambda s, v: None), raising=False)
+    for seed in range(1 if guard in SCENES else 8 * SEEDS):
+        try:
+            scene(guard) if guard in SCENES else modelled(seed)
+        except AssertionError as e:
+            assert "were answered at" in str(e)
+            return
+    pytest.fail(f"{guard}: nothing broke")
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -20,7 +20,7 @@
 from ploverhall.control.following import Following
 from ploverhall.control.requests import Requests
 from ploverhall.control.workers import Workers
-from ploverhall.coordination.told import Told
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.protocol import carry
 from ploverhall.protocol.state import Store
 from ploverhall.transport.http import Reply, Unreachable
@@ -370,7 +370,7 @@
 def test_a_cancellation_while_one_reaches_only_its_workers_and_one_peer(guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """It reads through that peer, so it hears of it, and its user is told at once; nobody's word is taken for its reading."""
     if not guarded:  # no carrying, and no waiting for its word
-        monkeypatch.setattr(Told, "may_tell", lambda self, version, now: True)
+        monkeypatch.setattr(Cancellations, "may_tell", lambda self, version, now: True)
     options = settings.Options(carry=guarded, cut_off_s=120.0)
 
     async def scene(p: Played) -> None:
--- /dev/null
+++ b/tests/test_gap.py
@@ -0,0 +1,156 @@
+"""The gap: one controller reads nothing any more, another confirms cancellations, and then the state service is down for all.
+
+The workers go on reporting to the first. Whole controllers (tests/played.py), judged from the workers' side: no task of a job whose
+user has been told is on a machine `cancel_s` later. The argument is in coordination/cancellations.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from ploverhall import settings
+from ploverhall.coordination.cancellations import Cancellations
+
+from . import world
+from .meetings import meet
+from .played import HOLD, RESET, SILENT, Played, play
+from .test_carry import busy
+
+LEASE, CANCEL = 16.0, 46.0
+
+
+@pytest.fixture(autouse=True)
+def long_enough(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(world, "LEASE", LEASE)
+    monkeypatch.setattr(world, "CANCEL", CANCEL)
+
+
+def hears_all(self: Cancellations, now: float, fence: float) -> bool:
+    """As it was: in an outage, whoever hears all others goes on, and only the key counts for the telling."""
+    return now - self.read_at >= fence and any(now - m.heard > 2.5 for m in self.members.values())
+
+
+@pytest.mark.parametrize("mode", [SILENT, RESET, HOLD])
+@pytest.mark.parametrize("mended", [True, False])
+def test_told_in_an_outage_by_others_while_the_workers_stay(mode: str, mended: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its key has gone, nobody has its part yet, it has read none of the cancellations, and can hear the others again."""
+    if not mended:
+        monkeypatch.setattr(Cancellations, "isolated", hears_all)
+        real, word = Cancellations.take, Cancellations.word
+        monkeypatch.setattr(Cancellations, "take", lambda s, n, w, now: real(s, n, w._replace(cancelled=[]), now))
+        monkeypatch.setattr(Cancellations, "word", lambda s, n, read, now: word(s, n, read, now)._replace(echo=None))
+        monkeypatch.setattr(Cancellations, "_owed", lambda self, m: m.absent or 0.0)
+
+    async def scene(p: Played) -> None:
+        await busy(p, 10.0)
+        layout = p.nodes["c0"].shared.layout
+        mine = [n for n in range(800, 830) if layout.team_shard[f"team-{n % 4}"] == 0][:3]  # it is the source, too: nobody else stops them
+        for n in mine:
+            await p.submit(p.spec(n, gait="daemon", chicks=4))
+        await anyio.sleep(6.0)
+        at, back = p.now, 5.0
+        p.net.cut("c0", "state", mode, 130.0)
+        for other in ("c1", "c2"):
+            p.net.cut("c0", other, mode, 9.0)
+        for n in mine:
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
+        while "p/node/c0" in p.state.store.kv:
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.1)
+        assert p.now - at < back and p.nodes["c0"].shared.held
+        p.tasks.start_soon(p.outage, 125.0)
+        await anyio.sleep(100.0)
+        if mended:
+            told = sorted(t - at for t in p.cancelled.values())
+            assert told and told[-1] < 14.0, "it is named the cancellations when the link is back, and then the users are told"
+            assert p.nodes["c0"].shared.held and p.fleet.killed_by_lease == 0, "and goes on with everything else"
+            assert any(w.tasks for w in p.workers.values())
+        await anyio.sleep(45.0)
+
+    if mended:
+        play(scene)
+    else:
+        with pytest.raises(AssertionError, match="ran_cancelled"):
+            play(scene)
+
+
+def test_an_outage_without_such_a_cancellation_kills_nothing() -> None:
+    """For longer than a cut-off controller may go on; each is heard by the others, and that keeps all of them going."""
+
+    async def scene(p: Played) -> None:
+        await busy(p, 10.0)
+        await p.outage(130.0)
+        assert p.fleet.killed_by_lease == 0
+        await anyio.sleep(20.0)
+        assert p.fleet.killed_by_lease == 0 and all(len(n.shared.held) == 1 for n in p.nodes.values())
+
+    play(scene)
+
+
+@pytest.mark.parametrize("after", [0.2, 6.0])
+def test_one_that_ends_in_the_outage_keeps_nobody_else_from_going_on(after: float) -> None:
+    """Its new life has read nothing, and vouches for what its last one owed (its own workers live on by their tokens, for as long)."""
+
+    async def scene(p: Played) -> None:
+        await busy(p, 10.0)
+        p.tasks.start_soon(p.outage, 120.0)
+        await anyio.sleep(20.0)
+        await p.crash("c1", after)
+        await anyio.sleep(95.0)
+        now = p.now
+        for name in ("c0", "c2"):
+            node = p.nodes[name]
+            assert node.shared.held and not node.membership.isolated(now) and now - node.cancellations.contact(now) < 3.0
+        await anyio.sleep(25.0)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("after", [0.2, 3.0])
+def test_a_life_that_has_read_nothing_stops_what_it_is_named(after: float) -> None:
+    """The leader ends inside the gap and is back: what others name is over for the workers of its earlier life, too."""
+
+    async def scene(p: Played) -> None:
+        await busy(p, 10.0)
+        at = p.now
+        p.refused.add("c0")
+        for other in ("c1", "c2"):
+            p.net.cut("c0", other, SILENT, 6.0)
+        await anyio.sleep(1.0)
+        for n in (900, 901, 902):
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
+        await anyio.sleep(1.0)
+        p.tasks.start_soon(p.outage, 110.0)
+        await p.crash("c0", after)
+        await anyio.sleep(100.0)
+        assert p.cancelled and min(p.cancelled.values()) - at < 60.0
+        p.refused.clear()
+        await anyio.sleep(30.0)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("older", [0, 1])
+def test_members_that_do_not_carry(older: int) -> None:
+    """Without carrying a refused one reads nothing at all; it is named what was cancelled all the same."""
+
+    async def scene(p: Played) -> None:
+        await busy(p, 10.0)
+        p.refused.add(f"c{older}")
+        await anyio.sleep(1.0)
+        for n in (900, 901, 902):
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
+        await anyio.sleep(2.0)
+        await p.outage(60.0)
+        p.refused.clear()
+        await anyio.sleep(50.0)
+        assert len(p.cancelled) == 3
+
+    play(scene, options=settings.Options(carry=False))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_drawn_gaps(seed: int) -> None:
+    """Which controller is refused or cut off, which ends and when, when the outage begins, and what is cancelled."""
+    meet(seed, ("gap", "crash", "peers"))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -58,12 +58,18 @@
         assert not member.isolated(105.0)
         early = 100.0 + st.cancel_s - st.lease_s
         assert member.isolated(early), "the other one may tell at once: a release before this one, or not heard of yet"
-        member.told.present("c1", True, 0, 100.0)
+        member.cancellations.present("c1", True, 0)
         assert not member.isolated(early) and member.isolated(100.0 + st.options.cut_off_s)
         member.granted = 101.0
         assert member.isolated(early), "it has not read yet what came before its promise"
+        member.granted = 99.0
         node.hearing.peer_news["c1"] = (119.5, NodeNews(60.0, {}, {}))
-        assert not member.isolated(120.0), "an outage that every controller confirms: nobody can cancel"
+        assert member.isolated(165.0), "that it is heard proves nothing: what was cancelled before an outage may be told in it"
+        life, node.shared.clock = member.cancellations.life, lambda: 119.5
+        said = {"seen": 1, "life": "x", "at": 1.0, "up": 99.0, "read": True, "echo": [life, 119.0]}
+        node.links.deliver("c1", [["k", 1, 0, 0, True, said, 1]])
+        assert member.isolated(119.0 + st.options.cut_off_s), "it has answered, and owes until so long after what it has answered"
+        assert not member.isolated(119.0 + st.options.cut_off_s - 0.1)
 
     anyio.run(play)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.source import Source
-from ploverhall.coordination.told import Told
 
 from .world import Broken, World, job
 
@@ -30,10 +30,10 @@
     for worker in w.workers.values():
         worker.hung_until = min(worker.hung_until, w.now + 1.0)
     w.cuts.clear()
+    w.down_until = min(w.down_until, w.now)
     for node in w.nodes:
-        node.frozen_until, node.dark_until = min(node.frozen_until, w.now), min(node.dark_until, w.now)
-    for s in [s for s in w.specs.values() if s.kind == "service"]:
-        w.later(60.0, w.withdraw, s.id)
+        node.frozen_until, node.dark_until, node.refused_until = min(node.frozen_until, w.now), min(node.dark_until, w.now), 0.0
+    w.later(60.0, lambda: [w.withdraw(s.id) for s in w.specs.values() if s.kind == "service"])  # some come after an outage only
     w.run(chaos_s + calm_s)
     return w
 
@@ -148,7 +148,7 @@
     w = cut_off(True)
     w.run(200.0)
     assert w.cancelled and not any(x.on_machine() for x in w.workers.values())
-    monkeypatch.setattr(Told, "may_tell", lambda self, version, now: True)
+    monkeypatch.setattr(Cancellations, "may_tell", lambda self, version, now: True)
     with pytest.raises(Broken, match="ran_cancelled"):
         cut_off(False).run(200.0)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,13 +12,13 @@
 
 from ploverhall.bookkeeping.replica import JOB, PREFIX, SHARD, Replica, cell_prefix, end_record, progress_prefix
 from ploverhall.coordination.boards import Inbox, Outbox
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.owner import Owner
 from ploverhall.coordination.shards import Layout
 from ploverhall.coordination.source import Source
-from ploverhall.coordination.told import Told
-from ploverhall.protocol import workers
+from ploverhall.protocol import peers, workers
 from ploverhall.protocol.cloud import MachineType
-from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.jobs import WITHDRAWN, Job
 from ploverhall.protocol.state import Event
 from ploverhall.settings import Team
 
@@ -190,19 +190,36 @@
     frozen_until = 0.0  # it stands still: nothing is read, done or sent, and its clock runs on
     blind_until = 0.0  # its watch of the store hangs
     dark_until = 0.0  # nothing reaches it but its workers, and it reaches nothing else
+    refused_until = 0.0  # the store refuses it alone
+    out_since: float | None = None  # since when its lease has not been renewed
 
     def boot(self) -> None:
         self.up_at = 0.0
-        self.told = Told([f"c{i}" for i in range(3) if i != self.index], CANCEL, LEASE, self.w.cut_off, self.w.now)
-        self.read_at = self.w.now
+        others = [f"c{i}" for i in range(3) if i != self.index]
+        self.told = Cancellations(others, CANCEL, LEASE, self.w.cut_off, self.w.now, f"{self.name} {self.lives}")
         self.stepped = self.w.now
-        self.replica = Replica(ready=True)
-        self.replica.load(self.w.store.read(PREFIX), self.w.store.rev)
-        self.replica.changed_jobs.clear()
+        self.replica = Replica()
+        if self.reaches_store:
+            self.load()
         self.inbox, self.outbox = Inbox(), Outbox()
         self.held: dict[int, Held] = {}
         self.generation: dict[str, int] = {}
         self.wires: dict[tuple[str, int, int], float] = {}
+        self.spoke: dict[str, float] = {}
+
+    def load(self) -> None:
+        """Its first read of the store."""
+        self.replica.load(self.w.store.read(PREFIX), self.w.store.rev)
+        self.replica.ready = True
+        self.told.contacted(self.w.now)
+        for jid, end in self.replica.ended.items():
+            if end.how == WITHDRAWN:
+                self.told.note(jid, end.version)
+        self.replica.changed_jobs.clear()
+
+    @property
+    def reaches_store(self) -> bool:
+        return not self.dark and self.w.now >= max(self.w.down_until, self.refused_until)
 
     @property
     def up(self) -> bool:
@@ -214,20 +231,31 @@
 
     @property
     def isolated(self) -> bool:
-        return self.w.now - self.read_at >= self.told.fence and any(self.w.cut(self, n) or not n.up for n in self.w.nodes if n is not self)
+        return self.told.isolated(self.w.now, self.told.fence)
 
     def notice(self) -> None:
-        """Whose key is in the store (a lease outlives its controller by 4 s), and what they say directly."""
+        """Whose key is in the store: a lease outlives its controller by 4 s, and no lease ends in an outage."""
         for n in self.w.nodes:
-            if n is not self:
-                out = max(n.up_at if not n.up else 0.0, n.frozen_until, n.dark_until)
-                if out > self.w.now and self.w.now - self.w.out_since.setdefault(n.name, self.w.now) > 4.0:
+            if n is not self and self.reaches_store:
+                if n.out_since is not None and self.w.now - max(n.out_since, self.w.down_until) > 4.0:
                     self.told.gone(n.name, self.w.now)
-                elif out <= self.w.now:
-                    self.w.out_since.pop(n.name, None)
-                    self.told.present(n.name, True, 0, self.w.now)
-                    if not self.w.cut(self, n):
-                        n.told.read(self.name, self.replica.rev)
+                else:
+                    self.told.present(n.name, True, 0)
+
+    def speak(self) -> None:
+        """Words to the others, twice a second."""
+        for n in self.w.nodes:
+            if n is not self and not self.w.cut(self, n) and self.w.now >= self.spoke.get(n.name, 0.0):
+                self.spoke[n.name] = self.w.now + 0.5
+                word = peers.pack_word(self.told.word(n.name, self.replica.rev if self.replica.ready else 0, self.w.now))
+                self.w.later(self.w.delay(self.w.speaking), n.listen, self.name, word, n.lives)
+
+    def listen(self, by: str, word: dict[str, Any], lives: int) -> None:
+        if lives == self.lives and self.up and not self.w.asleep(self, self.listen, by, word, lives):
+            for c in self.told.take(by, peers.word(word), self.w.now):
+                if c.version > self.replica.rev and c.job not in self.replica.ended:
+                    self.replica.put_own(JOB + c.job, end_record(WITHDRAWN, 0), c.version)
+            self.news()
 
     def holder(self, role: int) -> str | None:
         return self.name if role in self.held else self.replica.holder(role)[0]
@@ -236,6 +264,8 @@
         changed, self.replica.changed_jobs = self.replica.changed_jobs, []
         for jid in changed:
             known = self.replica.live.get(jid)
+            if (end := self.replica.ended.get(jid)) is not None and end.how == WITHDRAWN:
+                self.told.note(jid, end.version)
             for h in self.held.values():
                 if known is not None:
                     if self.w.layout.team_shard[known[0].team] == h.shard:
@@ -276,8 +306,8 @@
             for h in self.held.values():
                 h.owner.stood_still(now - self.stepped, now)
         self.stepped = now
-        if not self.dark:
-            self.notice()
+        self.notice()
+        self.speak()
         for _ in range(3):
             for h in list(self.held.values()):
                 self._step(h, now)
@@ -307,12 +337,12 @@
 
     def prove(self, lives: int, begun: float) -> None:
         """A read of the store has shown who holds what."""
-        if self.dark:
+        if not self.reaches_store:
             return
         if lives != self.lives or self.w.asleep(self, self.prove, lives, begun):
             return
         self.replica.apply(self.w.store.rev, self.w.store.since(self.replica.rev))
-        self.read_at = self.w.now
+        self.told.contacted(self.w.now)
         self.news()
         for h in self.held.values():
             h.owner.proved = max(h.owner.proved, begun)
@@ -349,8 +379,8 @@
                  kinds: tuple[int, ...] = tuple(range(8)), cut_off: float = 60.0, copies: float = 0.0) -> None:
         self.cut_off = cut_off
         self.copies = copies  # the share of reports that come again, from seconds to three leases later
-        self.out_since: dict[str, float] = {}
-        self.rng = Random(seed)
+        self.down_until = 0.0  # the store refuses everybody
+        self.rng, self.speaking = Random(seed), Random(seed + 1_000_000)  # words change nothing else that is drawn
         self.chaos, self.kinds = chaos, kinds
         self.now = 0.0
         self.n = 0
@@ -380,8 +410,8 @@
         self.n += 1
         heapq.heappush(self.queue, (self.now + after, self.n, what, args))
 
-    def delay(self) -> float:
-        return 0.002 + (self.rng.random() ** 6) * 0.5 * self.chaos
+    def delay(self, rng: Random | None = None) -> float:
+        return 0.002 + ((rng or self.rng).random() ** 6) * 0.5 * self.chaos
 
     def run(self, until: float) -> None:
         while self.queue and self.queue[0][0] <= until:
@@ -429,6 +459,8 @@
             self.rng.choice(self.nodes).blind_until = self.now + self.rng.choice([2.0, 8.0, 20.0])
         elif kind == 7:
             self.darken(self.rng.choice(self.nodes), self.rng.choice([8.0, 20.0, 45.0, 80.0]))
+        elif kind == 9:
+            self.gap(self.rng.choice(self.nodes), self.rng.choice([0.5, 3.0, 7.0]), self.rng.choice([15.0, CANCEL + 12.0]))
         elif kind == 8:
             for w in self.rng.sample(list(self.workers.values()), 3):
                 w.deaf_until = self.now + self.rng.choice([3.0, 8.0, 12.0, 40.0])
@@ -437,6 +469,12 @@
             for w in self.workers.values():
                 self.cuts[min(node.name, w.name), max(node.name, w.name)] = self.now + 6.0
 
+    def gap(self, node: Node, before: float, s: float) -> None:
+        """The store refuses one controller, and then everybody; an outage gives every lease its full time again."""
+        if self.now >= self.down_until:
+            node.refused_until = self.now + before + self.rng.choice([0.0, 10.0])
+            self.later(before, lambda: setattr(self, "down_until", self.now + s))
+
     def darken(self, node: Node, s: float) -> None:
         """A zone is cut off, this controller in it: only its zone's workers reach it, and they reach nobody else."""
         if any(n.dark for n in self.nodes):
@@ -468,13 +506,18 @@
         self.gangs()
         for n in self.nodes:
             if n.up and self.now >= n.frozen_until:
-                if not n.dark and ((self.rng.random() < 0.7 and self.now >= n.blind_until) or self.chaos <= 0):
-                    n.replica.apply(self.store.rev, self.store.since(n.replica.rev))
-                    n.read_at = self.now
+                if n.reaches_store and ((self.rng.random() < 0.7 and self.now >= n.blind_until) or self.chaos <= 0):
+                    if n.replica.ready:
+                        n.replica.apply(self.store.rev, self.store.since(n.replica.rev))
+                        n.told.contacted(self.now)
+                    else:
+                        n.load()
                 n.news()
-                if not n.dark:
+                if n.reaches_store and n.replica.ready:
                     self.shards(n)
                 n.step()
+            out = not n.up or self.now < n.frozen_until or not n.reaches_store
+            n.out_since = (n.out_since if n.out_since is not None else self.now) if out else None
         self.judge()
 
     def shards(self, n: Node) -> None:
@@ -483,7 +526,7 @@
             holder = value["node"] if value else None
             if holder == n.name and (i not in n.held or n.held[i].epoch != version):
                 self.claim(n, i, version)
-            elif holder is None or not (other := self.nodes[int(holder[1])]).up or other.frozen_until > self.now or other.dark:
+            elif holder is None or not (other := self.nodes[int(holder[1])]).up or other.frozen_until > self.now or not other.reaches_store:
                 since = self.orphan.setdefault(i, self.now)
                 if i == n.index or self.now - since > 3.0:
                     self.claim(n, i, version)
@@ -497,12 +540,15 @@
             n.take(shard, rev)
 
     def write(self, node: Node, h: Held, txn: Any) -> None:
-        fate = self.rng.random() if not node.dark else 1.0  # what a cut holds back of it is not played: unknown, and not executed
+        fate = self.rng.random() if node.reaches_store else 1.0  # what a cut holds back of it is not played: unknown, and not executed
         lives = node.lives
 
         def outcome(rev: int, failed: list[str], unknown: bool) -> None:
             if node.lives != lives or node.held.get(h.shard) is not h or self.asleep(node, outcome, rev, failed, unknown):
                 return
+            if not node.reaches_store:  # neither written nor read again before that
+                self.later(0.5, outcome, rev, failed, unknown)
+                return
             h.busy = False
             if unknown:
                 h.source.unknown(txn)
@@ -634,6 +680,9 @@
     # -- users and rules -----------------------------------------------------------------------
 
     def submit(self, job: Job) -> None:
+        if self.now < self.down_until:
+            self.later(1.0, self.submit, job)
+            return
         self.specs[job.id] = job
         self.store.txn({JOB + job.id: 0}, {JOB + job.id: job.record()}, [])
 
@@ -644,13 +693,17 @@
     def withdraw(self, jid: str) -> None:
         """A user asks any controller that can be reached, again and again until it is told."""
         value, version = self.store.kv.get(JOB + jid, (None, 0))
+        if isinstance(value, list) and self.now < self.down_until:
+            self.later(1.0, self.withdraw, jid)
+            return
         if isinstance(value, list):
             version, _ = self.store.txn({JOB + jid: version}, {JOB + jid: end_record("withdrawn", 0)}, [])
         elif value is None or value["s"] != "withdrawn":
             return
         asked = [n for n in self.nodes if n.up and not n.dark and self.now >= n.frozen_until]
         node = self.rng.choice(asked) if asked else None
-        if node is not None and node.replica.rev >= version and node.told.may_tell(version, self.now):
+        # what one has read it tells from its memory, in an outage, too
+        if node is not None and node.replica.ready and node.replica.rev >= version and node.told.may_tell(version, self.now):
             self.cancelled.setdefault(jid, self.now)
         else:
             self.later(1.0, self.withdraw, jid)
