Old reports at every controller in the moment in which a new leader begins

No fault found: nothing is proved by a machine that has not taken the owner's token. Copies alone cost no task its lease.

--- a/tests/played.py
+++ b/tests/played.py
@@ -490,12 +490,12 @@
                 await anyio.sleep(0.01)
                 new, seen = self.state.store.log[seen:], len(self.state.store.log)
                 if any(e.key.startswith(SHARD) and e.value is not None for e in new):
-                    for _ in range(6):  # before it has begun, in that moment, and after
+                    for after in (0.0, 0.02, 0.1, 0.3, 1.0, 3.0):  # in the moment in which it begins, and when it has acted
+                        await anyio.sleep(after)
                         for bodies in kept.values():
                             for body in bodies:
                                 for name in self.names:
                                     self.tasks.start_soon(come, body, name)
-                        await anyio.sleep(0.1)
 
         self.fleet.sent = sent
         self.tasks.start_soon(watch)
