Teams at their limit, jobs cancelled whose machines can't be asked, the leader changes

Played: both teams at their limit; four jobs are cancelled while their machines are cut off, held up or hang (8 to 25 s, lease 10 s), with and without an end of both sources; more work waits for that room. Without the guards the limit is passed (a job's end takes its starts out of the count; a new source does not know the size of what is over).

--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,98 @@
+"""Every team at its limit while jobs are cancelled whose machines can't be asked, and the leader changes (tests/played.py).
+
+What is cancelled counts for its team until it is proved gone, under every source and by its own size; then its room is used again.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+
+from ploverhall.coordination.ledger import Ledger
+
+from .played import HOLD, SILENT, Played, play
+
+
+def over_is_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A job's end takes its starts out of the count, wherever they may still be."""
+    real = Ledger.on_job
+
+    def on_job(self: Ledger, job: Any, jid: str, version: int, now: float, age: float = 0.0) -> None:
+        real(self, job, jid, version, now, age)
+        if job is None and (js := self.jobs.get(jid)) is not None:
+            for e in js.entries.values():
+                e.over = True
+                self.dirty_chunks.setdefault(e.chunk, False)
+
+    monkeypatch.setattr(Ledger, "on_job", on_job)
+
+
+def over_is_small(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new source does not know the size of what is over."""
+    real = Ledger.install_cell
+
+    def install_cell(self: Ledger, team: str, found: dict[str, Any], now: float) -> None:
+        small = {
+            key: ({jid: [vec if jid in self.jobs else [0.0, 0.0, 0.0], es] for jid, (vec, es) in value.items()}, version)
+            for key, (value, version) in found.items()
+        }
+        real(self, team, small, now)
+
+    monkeypatch.setattr(Ledger, "install_cell", install_cell)
+
+
+@pytest.mark.parametrize(("how", "s", "change", "without"), [
+    ("cut", 8.0, True, None), ("cut", 14.0, True, None), ("cut", 14.0, False, None), ("held", 8.0, True, None),
+    ("hang", 8.0, True, None), ("hang", 14.0, True, None), ("hang", 25.0, False, None),
+    ("cut", 14.0, False, over_is_gone), ("hang", 8.0, True, over_is_gone), ("cut", 8.0, True, over_is_small),
+])  # fmt: skip
+def test_what_is_cancelled_where_nobody_can_ask_counts_until_it_is_gone_and_its_room_is_used_at_once(
+    how: str, s: float, change: bool, without: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """cut, held: neither commands nor answers, lost or late; hang: within the lease of 10 s or beyond. change: both teams' sources end."""
+    if without is not None:
+        without(monkeypatch)
+    used: list[float] = []
+
+    async def scene(p: Played) -> None:
+        for team in range(2):  # at the limit of 16
+            await p.submit(p.spec(900 + team, gait="daemon", chicks=6))
+            for n in (910, 912):
+                await p.submit(p.spec(n + team, gait="array", chicks=2, gpus=2.0 + n % 4 / 2, flightS=400.0, pullGb=0.1))
+        await anyio.sleep(7.0)
+        for team in range(2):  # these wait for the room of what is cancelled
+            for n in range(4):
+                await p.submit(p.spec(920 + 2 * n + team, gait="array", chicks=4, flightS=3.0, pullGb=0.1))
+        await anyio.sleep(2.0)
+        big = {f"j-{n:06d}" for n in (910, 911, 912, 913)}
+        theirs = [w.name for w in p.fleet.workers.values() if any(k[0] in big for k in w.tasks)]
+        if how == "hang":
+            p.hang(theirs, s)
+        else:
+            for w in theirs:
+                for c in p.names:
+                    p.net.cut(c, w, SILENT if how == "cut" else HOLD, s)
+        until = p.now + s
+        for jid in sorted(big):
+            p.tasks.start_soon(p.withdraw, jid)
+        await anyio.sleep(0.5)
+        if change:
+            for name in {next(n for n in p.names if h in p.nodes[n].shared.held) for h in range(2)}:
+                p.tasks.start_soon(p.crash, name, 0.2 if s > 10.0 else 20.0)
+        await anyio.sleep(until - p.now)
+        with anyio.move_on_after(40.0):
+            while not all((j, i) in p.fleet.results for j, sp in p.specs.items() if int(j[2:]) >= 920 for i in range(sp.n)):
+                await anyio.sleep(0.1)
+        used.append(p.now - until)
+        assert big <= p.cancelled.keys() and not p.starts_after_told()
+        await anyio.sleep(40.0)
+        assert not await p.all_answered(20.0)
+
+    if without is None:
+        play(scene, machines=12, teams=2)
+        assert used[0] < 12.0, "two rounds of 5 s are to be done"
+    else:
+        with pytest.raises(AssertionError, match="quota"):
+            play(scene, machines=12, teams=2)
