Mute machines; a stop whose answer did not come is sent again

Played: machines that open no connection to any controller while commands reach them, for 6 and 25 s (lease 10 s), with and without an end of their leader. Fault: a stop that was lost on the direct path was never sent by it again. Where reports don't come either, a cancelled task went on for the rest of its lease (15.5 of 16 s), though commands reached it. Cause: a stop counted as sent when it had left. Mend: without an answer it has not been sent (Owner.direct_done).

--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -594,6 +594,8 @@
                 self._raise(m)  # fenced each time
             else:
                 self._doubt(m, now)
+            for p in m.permits.values():
+                p.killed = None  # nor need a stop have arrived: where its reports don't come either, nothing else would bring it
             m.unanswered += 1
             m.direct_after = now + (SILENT_S if m.unanswered < UNANSWERED else LONG_SILENT_S)
             self.dirty = True
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -16,6 +16,7 @@
 from ploverhall.coordination.renter import Renter
 from ploverhall.protocol.workers import Report
 
+from . import world
 from .played import RESET, SILENT, Played, play
 from .test_copies import copies_are_news
 
@@ -216,3 +217,84 @@
     else:
         with pytest.raises(AssertionError, match="ran_twice"):
             play(scene, machines=9)
+
+
+# -- machines that can open no connection, while commands reach them -------------------------------
+
+
+def an_answer_to_a_command_is_a_report(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What answers a command is taken for one whose lease has just been renewed."""
+    real = Owner.on_report
+
+    def on_report(self: Owner, r: Report, now: float, direct: bool = False, carried: bool = False) -> Any:
+        return real(self, r, now, False, carried)
+
+    monkeypatch.setattr(Owner, "on_report", on_report)
+
+
+@pytest.mark.parametrize(("s", "change", "without"), [
+    (6.0, False, None), (25.0, False, None), (25.0, True, None), (25.0, False, an_answer_to_a_command_is_a_report),
+])  # fmt: skip
+def test_machines_that_reach_nobody_while_commands_reach_them(
+    s: float, change: bool, without: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cancelled tasks there end by command; an answered command renews no lease, so nothing new goes there until they report."""
+    if without is not None:
+        without(monkeypatch)
+    given: list[Any] = []
+
+    async def scene(p: Played) -> None:
+        for n in range(900, 904):
+            await p.submit(p.spec(n, gait="daemon", chicks=6))
+        p.tasks.start_soon(p.flow, 60.0, 0.7)
+        await anyio.sleep(7.0)
+        some = [w for c in p.names for w in p.workers_of(c)[:2]]
+        p.mute(some, s)
+        at = p.now
+        for n in (900, 901):
+            await p.withdraw(f"j-{n:06d}")
+        await anyio.sleep(1.0)
+        assert not [k for w in p.fleet.workers.values() for k in w.on_machine() if k[0] in p.cancelled]
+        if change:
+            p.tasks.start_soon(p.crash, "c0", 20.0)
+        await anyio.sleep(at + s - p.now)
+        given.extend(x for x in p.fleet.started_on if x[1] in some and x[0] > at + 5.0)
+        await anyio.sleep(15.0)
+        assert not p.starts_after_told()
+        assert any(x[1] in some and x[0] > at + s for x in p.fleet.started_on), "they are used again"
+        assert not await p.left_waiting(30.0)
+
+    if without is None:
+        play(scene, machines=12)
+    else:
+        with contextlib.suppress(AssertionError):
+            play(scene, machines=12)
+    assert bool(given) == (without is not None), "starts on machines that report to nobody"
+
+
+@pytest.mark.parametrize("mute", [True, False])
+def test_a_stop_that_was_lost_is_sent_again(mute: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """By command, where that reaches the machine again: it need not wait for a report, or for its lease."""
+    monkeypatch.setattr(world, "LEASE", 16.0)
+    monkeypatch.setattr(world, "CANCEL", 46.0)
+    took: list[float] = []
+
+    async def scene(p: Played) -> None:
+        await p.submit(p.spec(900, gait="daemon", chicks=8))
+        await anyio.sleep(6.0)
+        some = {w.name for w in p.fleet.workers.values() if w.tasks}
+        if mute:
+            p.mute(some, 30.0)
+        for w in some:
+            for c in p.names:
+                p.net.cut(c, w, SILENT, 2.5, both=False)
+        at = p.now
+        p.tasks.start_soon(p.withdraw, "j-000900")
+        while any(w.on_machine() for w in p.fleet.workers.values()):
+            await anyio.sleep(0.1)
+        took.append(p.now - at)
+        await anyio.sleep(30.0)
+        assert not p.state.store.permits(), "and is proved gone"
+
+    play(scene, machines=6)
+    assert took[0] < 9.0, took
