What a user is told is decided in one place: a repeated submission told cancellations early

Cause: submit waited for a proof that the copy is current and then said what the copy held, without asking for the right to tell a cancellation; the copy may learn of it during that wait. With a zone cut off for 110 s and submissions repeated at the two others, users were told within milliseconds, and tasks ran on in the zone for more than cancel_s after it (ran_cancelled, both kinds of cut).

Change: coordination/answers.py (no I/O) takes the copy, a proof with its age and the teller's right, and is the only way to a stance for submissions, polls, withdrawals and the job part of /status; a house test holds control/users.py to it. control/requests.py is split into users' requests, workers' reports, and the way to them.

Tests: the zone cut with HOLD and RESET, seen to fail with the old way to answer; drawn close looks, seen to fail without the proof and without the archive; 600 short histories beside a plain model, seen to fail without the proof's age, the right, the archive.

--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -12,8 +12,11 @@
     PREFIX,
 )  # fmt: skip
 from ploverhall.control.shared import Shared
+from ploverhall.coordination.answers import Proof
 from ploverhall.protocol.state import Event, Refused, Unknown
 
+PROOF_S = 1.5  # how long a question waits for the read that proves its answer
+
 
 class Following:
     """This node's copy of the store: kept by watch, and proven current for those who must know."""
@@ -22,7 +25,7 @@
         self.shared = shared
         self.news = news  # the copy has changed
         self.proved = proved  # a read begun then has shown who holds what
-        self.waiters: list[tuple[anyio.Event, list[bool]]] = []
+        self.waiters: list[tuple[anyio.Event, list[Proof]]] = []
         self.prove_wake = anyio.Event()
         self.read_at = 0.0  # when the newest read began that brought the copy up to date
 
@@ -70,19 +73,23 @@
         log.info("state read", rev=self.shared.replica.rev, live=len(self.shared.replica.live), ended=len(self.shared.replica.ended))
         self.news()
 
-    async def current(self) -> bool:
-        """Whether the copy was proven current by a read begun after this call."""
-        done, result = anyio.Event(), [False]
+    async def proof(self) -> Proof | None:
+        """That the copy has been brought up to date by a read begun after this call; None where there is no such read in time."""
+        done, result = anyio.Event(), list[Proof]()
         self.waiters.append((done, result))
         self.prove_wake.set()
-        with anyio.move_on_after(1.5):
+        with anyio.move_on_after(PROOF_S):
             await done.wait()
-        return result[0]
+        return result[0] if result else None
+
+    async def current(self) -> bool:
+        """Whether there is such a proof."""
+        return await self.proof() is not None
 
     def ask(self) -> None:
         """A read is wanted soon, by nobody who waits for it."""
         if not self.waiters:
-            self.waiters.append((anyio.Event(), [False]))
+            self.waiters.append((anyio.Event(), []))
         self.prove_wake.set()
 
     async def prove_loop(self) -> None:
@@ -92,7 +99,7 @@
                 self.prove_wake = anyio.Event()
                 await self.prove_wake.wait()
             batch, self.waiters = self.waiters, []
-            ok = False
+            proof: Proof | None = None
             begun = self.shared.clock()
             try:
                 if self.shared.replica.ready:
@@ -100,12 +107,13 @@
                     if answer is None:
                         self.shared.replica.ready = False
                     else:
-                        ok = True
+                        proof = Proof(begun)
                         self._took(begun, *answer)
                         self.proved(begun)
             except (Refused, Unknown):
                 pass
             for done, result in batch:
-                result[0] = ok
+                if proof is not None:
+                    result.append(proof)
                 done.set()
             await anyio.sleep(self._pause(0.04))
--- a/ploverhall/control/node.py
+++ b/ploverhall/control/node.py
@@ -17,16 +17,19 @@
 from ploverhall.control.links import Links
 from ploverhall.control.membership import Membership
 from ploverhall.control.renting import Renting
+from ploverhall.control.reports import Reports
 from ploverhall.control.requests import Requests
 from ploverhall.control.roles import Roles
 from ploverhall.control.routing import Routing
 from ploverhall.control.shared import SHARE, Held, Shared
 from ploverhall.control.telling import Telling
 from ploverhall.control.upkeep import Upkeep
+from ploverhall.control.users import Users
 from ploverhall.control.view import View
 from ploverhall.control.wire import Wire
 from ploverhall.control.workers import Workers
 from ploverhall.control.writing import Writing
+from ploverhall.coordination.answers import Answers
 from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.fleet import Machine
 from ploverhall.coordination.owner import Owner
@@ -87,14 +90,17 @@
             poke=self.links.poke, ask=self.following.ask, stood_still=self._stood_still, right=self.membership.right,
             direct=self._direct,
         )  # fmt: skip
+        answers = Answers(shared.replica, self.membership.may_tell, self.routing.progress)
+        self.users = Users(shared, self.following, answers, self.news)
+        self.reports = Reports(shared, self.hearing, self.routing, self.membership, self.ways, self.carrying, self.workers)
         self.requests = Requests(
-            shared, self.hearing, self.routing, self.following, self.membership, self.telling, self.news,
-            self.ways, self.carrying, self.workers, Upkeep(shared, self.following, self.telling, self.news),
+            shared, self.hearing, self.membership, self.telling, self.users, self.reports,
+            Upkeep(shared, self.following, self.telling, self.news),
         )  # fmt: skip
         self.carrying.reached, self.carrying.late = self._reached, lambda: self.engine.late
         self.carrying.handlers = {
             carry.STATE: self.state.carried, carry.CLOUD: self.cloud.carried,
-            carry.REPORT: self.requests.carried, carry.DO: self.workers.carried,
+            carry.REPORT: self.reports.carried, carry.DO: self.workers.carried,
         }  # fmt: skip
 
     async def run(self) -> None:
--- a/ploverhall/control/routing.py
+++ b/ploverhall/control/routing.py
@@ -7,6 +7,7 @@
 from ploverhall.coordination import boards
 from ploverhall.coordination.boards import Message
 from ploverhall.coordination.source import Source
+from ploverhall.protocol.jobs import Job
 
 FOUND_S = 4.5  # a worker that is sent to a holder that it can't reach waits for 4 s there, and 1 s more
 
@@ -91,6 +92,19 @@
                 held.owner.set_empty(state["empty"])
             held.owner.machine_gone(state.get("gone") or [])
 
+    def progress(self, job: Job) -> tuple[int, int]:
+        """A live job's tasks done and running, as far as they are known here: from its source, or from what that one tells."""
+        shard = self.shared.layout.team_shard.get(job.team, -1)
+        held = self.shared.held.get(shard)
+        if held is not None and held.source is not None:
+            return held.source.progress(job.id)
+        for dst in range(len(self.shared.layout.nodes)):
+            counts = self.shared.inbox.boards.get(("c", shard, dst))
+            if counts is not None and job.id in counts[1]:
+                done, running = counts[1][job.id]
+                return done, running
+        return 0, 0
+
     def replay(self, role: int, kinds: tuple[str, ...]) -> None:
         """Hand a role all that it has been told so far."""
         for (kind, src, dst), (epoch, state) in list(self.shared.inbox.boards.items()):
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -120,6 +120,8 @@
     ]  # fmt: skip
     if told := data.get("told"):
         out.append(f"users are told: {told['id']} is {told['stance']}, {told['done']} tasks done, {told['running']} running")
+    if untold := data.get("untold"):
+        out.append(f"users are told nothing of it now: {untold}")
     queue: dict[str, list[int]] = {}
     machines: dict[str, int] = {}
     for v in views.values():
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,265 @@
+"""What users are told (coordination/answers): never older than what was told, and of a cancellation only with the right to tell."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import pytest
+
+from ploverhall.bookkeeping.replica import ARCHIVE, ARCHIVED, JOB, Replica, end_record
+from ploverhall.control.following import Following
+from ploverhall.coordination.answers import Answers, Known, NeverAccepted, NotNow, Proof
+from ploverhall.protocol import jobs
+from ploverhall.protocol.state import Event
+
+from . import world
+from .meetings import CANCEL, KNOWN_S, LEASE
+from .played import HOLD, RESET, Played, play
+
+
+@pytest.fixture
+def platform_times(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The deployments' own lease and time for a cancellation."""
+    monkeypatch.setattr(world, "LEASE", LEASE)
+    monkeypatch.setattr(world, "CANCEL", CANCEL)
+
+
+def told_at_once(self: Answers, jid: str) -> Known | None:
+    """As a repeated submission was answered: what is over is told, whoever knows of it."""
+    end = self.replica.ended.get(jid)
+    return None if end is None else Known(jobs.view(jid, end.how, end.done), True)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+@pytest.mark.parametrize("mode", [HOLD, RESET])
+def test_a_repeated_submission_tells_no_cancellation_early(
+    mode: str, guarded: bool, platform_times: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A zone is cut off for 110 s with its controller, and jobs are cancelled outside, while their submissions are repeated.
+
+    Answered from the copy, which learnt of the cancellation while the question waited for its proof, the user was told within
+    milliseconds, and tasks in the zone ran on for 73 s (`ran_cancelled`).
+    """
+    if not guarded:
+        monkeypatch.setattr(Answers, "final", told_at_once)
+
+    async def scene(p: Played) -> None:
+        wanted = [p.spec(n, gait="daemon", chicks=3) for n in range(1, 7)]
+        for spec in wanted:
+            await p.submit(spec)
+        await anyio.sleep(8.0)
+        p.cut_zone("b", mode, 110.0)
+        await anyio.sleep(1.0)
+        for i, spec in enumerate(wanted):
+            p.tasks.start_soon(p.withdraw, spec["id"], ("c0", "c2")[i % 2])
+        at = p.now
+        while p.now - at < 1.2:
+            for spec in wanted:
+                for name in ("c0", "c2"):
+                    p.tasks.start_soon(p.resubmit, spec["id"], name)
+            await anyio.sleep(0.01)
+        early = [j for j in p.cancelled if p.now - p.cancelled[j] < 2.0]
+        await anyio.sleep(109.0)
+        assert not early or not guarded
+        assert len(p.cancelled) == len(wanted), "told, once the zone must have stopped"
+        assert not await p.all_answered(KNOWN_S)
+
+    if guarded:
+        play(scene)
+    else:
+        with pytest.raises(AssertionError, match="ran_cancelled"):
+            play(scene)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_close_looks_at_all_controllers(seed: int) -> None:
+    """All controllers are asked, and submissions repeated, within 50 ms of each acceptance, end and cancellation; some cancel at once."""
+
+    async def scene(p: Played) -> None:
+        rng = Random(seed)
+        p.tasks.start_soon(p.close_looks, 60.0)
+        p.tasks.start_soon(p.flow, 45.0, 0.8)
+        for i in range(6):
+            p.tasks.start_soon(p.submit, p.spec(900 + i, gait="daemon"))
+        await anyio.sleep(10.0)
+        if seed % 2:
+            p.tasks.start_soon(p.crash, rng.choice(p.names), rng.choice([0.3, 3.0]))
+        for i in range(6):
+            p.tasks.start_soon(p.withdraw, f"j-{900 + i:06d}")
+            await anyio.sleep(2.0)
+        await anyio.sleep(45.0)
+        assert not await p.all_answered(KNOWN_S)
+        assert len(p.told) > 30
+
+    play(scene, seed)
+
+
+@pytest.mark.parametrize("without", ["proof", "archive"])
+def test_close_looks_find_an_older_answer(without: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without the proof, or without the look into the archive, a job that was accepted is not known."""
+    if without == "proof":
+
+        async def at_once(self: Following) -> Proof:
+            return Proof(self.shared.clock())
+
+        monkeypatch.setattr(Following, "proof", at_once)
+    else:
+        monkeypatch.setattr(Answers, "archived", lambda self, jid, value, version: NeverAccepted())
+
+    async def scene(p: Played) -> None:
+        for n in p.nodes.values():
+            object.__setattr__(n.settings.options, "keep_ended", 3)
+        p.tasks.start_soon(p.close_looks, 40.0)
+        for i in range(20):
+            await p.submit(p.spec(1 + i, gait="array", chicks=1, flightS=1.0))
+        await anyio.sleep(25.0)
+        await p.all_answered(20.0)
+
+    with pytest.raises(AssertionError, match="forgotten"):
+        play(scene)
+
+
+# -- the decisions alone, beside a plain model ------------------------------------------------
+
+
+class Copies:
+    """A store whose revisions are counted, three controllers' copies of it, and what has been told so far: the plain model."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.store = world.Store()
+        self.copies = [Replica() for _ in range(3)]
+        self.known = [0, 0, 0]  # the revision up to which each controller knows all cancellations
+        self.answers = [Answers(r, self.teller(i), lambda job: (0, 0)) for i, r in enumerate(self.copies)]
+        self.told: dict[str, int] = {}  # 1: accepted, 2: over
+        self.how: dict[str, str] = {}
+        self.listing: dict[int, tuple[list[str], dict[str, Any], int]] = {}  # a listing that is being read: pages come one by one
+        self.open: list[tuple[int, str, int, int, int]] = []  # questions: by whom, of what, when, the copy's revision, what had been told
+
+    def teller(self, i: int) -> Any:
+        """A cancellation may be told by a controller that has read it, once all know of it."""
+        return lambda end: end.how == jobs.DONE or self.copies[i].rev >= end.version <= min(self.known)
+
+    def step(self) -> None:
+        rng, s, i = self.rng, self.store, self.rng.randrange(3)
+        jid = f"j-{rng.randrange(1, 9):06d}"
+        copy, answers = self.copies[i], self.answers[i]
+        match rng.randrange(9):
+            case 0:  # a submission
+                job = world.job(Random(1), jid, 0.0)
+                rev, failed = s.txn({JOB + jid: 0, ARCHIVE + jid: 0}, {JOB + jid: job.record()}, [])
+                if not failed and rng.random() < 0.7:  # else its answer is lost
+                    copy.put_own(JOB + jid, job.record(), rev)
+                    self.heard(jid, answers.accepted(jid), self.told.get(jid, 0))
+            case 1 | 2:  # an end: done by whoever runs it, or a cancellation by this copy's word
+                version = answers.live_at(jid) if rng.random() < 0.5 else s.kv.get(JOB + jid, (None, 0))[1]
+                if version and isinstance(s.kv.get(JOB + jid, (None, 0))[0], list):
+                    how = rng.choice([jobs.DONE, jobs.WITHDRAWN])
+                    rev, failed = s.txn({JOB + jid: version}, {JOB + jid: end_record(how, 1)}, [])
+                    if not failed and rng.random() < 0.7:
+                        copy.put_own(JOB + jid, end_record(how, 1), rev)
+            case 3:  # the archive takes a job whose end everybody may forget
+                value, version = s.kv.get(JOB + jid, (None, 0))
+                if isinstance(value, dict) and version <= min(self.known):
+                    s.txn({JOB + jid: version}, {ARCHIVE + jid: value, ARCHIVED: 1}, [JOB + jid])
+            case 4:  # a watch's answer, perhaps of a while ago
+                since = copy.rev if rng.random() < 0.7 else rng.randrange(copy.rev + 1)
+                upto = rng.randint(max(since, copy.rev), max(s.rev, copy.rev))
+                copy.apply(upto, [Event(e.key, e.value, e.version) for e in s.since(since) if e.version <= upto])
+            case 5:  # a page of a listing; with the last one the copy begins anew
+                self.page(i, 2)
+            case 6:  # another controller learns of all cancellations up to some revision
+                self.known[i] = max(self.known[i], rng.randint(0, copy.rev))
+            case 7:  # a question is put
+                if i not in self.listing:  # no read that proves anything begins while the copy is read anew
+                    self.open.append((i, jid, s.rev, copy.rev, self.told.get(jid, 0)))
+            case _:
+                if self.open:
+                    self.answer(*self.open.pop(rng.randrange(len(self.open))))
+
+    def page(self, i: int, n: int) -> None:
+        """The next keys of a listing; the copy begins anew with the last ones, as old as the first."""
+        s = self.store
+        keys, found, rev = self.listing.pop(i, (sorted(k for k in s.kv if k.startswith("p/")), {}, s.rev))
+        found.update({k: s.kv[k] for k in keys[:n] if k in s.kv})
+        if keys[n:]:
+            self.listing[i] = (keys[n:], found, rev)
+        else:
+            self.copies[i].load(found, rev)
+
+    def answer(self, i: int, jid: str, asked: int, since: int, told: int) -> None:
+        """A read is over that began some time before or after the question came, and has brought what there was by then or later."""
+        begun = self.rng.randint(max(since, asked - 3), max(asked, self.store.rev))
+        upto = self.rng.randint(min(begun, self.store.rev), self.store.rev)
+        self.copies[i].apply(upto, [e for e in self.store.since(since) if e.version <= upto])
+        if i in self.listing and self.rng.random() < 0.5:
+            self.page(i, 100)  # a listing that began after that read, and before what it has brought
+        answer = self.answers[i].proved(jid, asked, Proof(begun) if self.rng.random() < 0.9 else None)
+        if not isinstance(answer, (Known, NotNow, NeverAccepted)):
+            answer = self.answers[i].archived(jid, *self.store.kv.get(ARCHIVE + jid, (None, 0)))
+        self.heard(jid, answer, told)
+
+    def heard(self, jid: str, answer: Any, told: int) -> None:
+        """A user hears it: it is no older than what had been told when he asked, and true."""
+        if isinstance(answer, NotNow):
+            return
+        now = 0 if isinstance(answer, NeverAccepted) else 2 if answer.over else 1
+        assert now >= told, f"{jid}: {answer} after {told}"
+        self.told[jid] = max(self.told.get(jid, 0), now)
+        if now == 2:
+            how = answer.view["stance"]
+            assert self.how.setdefault(jid, how) == how, f"{jid} was {self.how[jid]} and is {how}"
+            version = next(e.version for e in self.store.log if e.key == JOB + jid and isinstance(e.value, dict))
+            assert how == jobs.DONE or version <= min(self.known), f"{jid}: told before all know"
+
+
+def run_copies(seeds: range) -> int:
+    """Many short histories; the number of answers heard."""
+    n = 0
+    for seed in seeds:
+        c = Copies(seed)
+        for _ in range(120):
+            c.step()
+        n += len(c.told)
+    return n
+
+
+def test_no_answer_is_older_than_one_before() -> None:
+    assert run_copies(range(600)) > 1500
+
+
+def unproved(self: Answers, jid: str, asked: float, proof: Proof | None) -> Any:
+    return real_proved(self, jid, asked, Proof(asked))
+
+
+def straight_to_no(self: Answers, jid: str, asked: float, proof: Proof | None) -> Any:
+    answer = real_proved(self, jid, asked, proof)
+    return answer if isinstance(answer, (Known, NotNow)) else NeverAccepted()
+
+
+real_proved = Answers.proved
+
+
+@pytest.mark.parametrize(("name", "without"), [("proved", unproved), ("final", told_at_once), ("proved", straight_to_no)])
+def test_the_model_finds_what_a_guard_is_there_for(name: str, without: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The proof (that there is one, and that it is no older than the question), the right to tell, the archive."""
+    monkeypatch.setattr(Answers, name, without)
+    with pytest.raises(AssertionError):
+        run_copies(range(600))
+
+
+def test_only_answers_say_how_a_job_stands() -> None:
+    """Users' requests have no way past coordination.answers: they never look at what the copy holds, nor make a view themselves."""
+    for name in ("users", "requests"):
+        tree = ast.parse((Path(__file__).parent.parent / "ploverhall/control" / f"{name}.py").read_text())
+        used = {n.attr for n in ast.walk(tree) if isinstance(n, ast.Attribute)} | {n.id for n in ast.walk(tree) if isinstance(n, ast.Name)}
+        assert not used & {"live", "ended", "unreadable", "view_of", "RUNNING", "DONE", "QUEUED", "Ended"}, name
+        said = [n for n in ast.walk(tree) if isinstance(n, ast.Call) and ast.unparse(n.func) in ("Reply", "jobs.view", "view")]
+        for call in said:
+            assert ast.unparse(call.func) == "Reply"
+            if ast.unparse(call.args[0]) in ("200", "201") and name == "users":
+                assert ast.unparse(call.args[1]).endswith(".view"), ast.unparse(call)
