Preemption goes one way: a guarantee and a rank stopped one another every 0.25 s

Cause: may_stop is a circle. An urgent array beyond its team's guarantee stops another team's lower work within its own by rank; that stops the array for the guarantee; at once, again. Mend: a job that has had another team's work stopped for its guarantee, or that took the room of one that had, is not stopped by work beyond a guarantee (rank 0 excepted: it is never stopped itself). Nothing else changes.

--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -17,7 +17,7 @@
 
 Vec = tuple[float, float, float]
 Place = tuple[str, str, bool]  # type, zone, spot
-Class = tuple[int, bool, str, str]  # what decides who may stop a task: rank, within its team's guarantee, team, kind
+Class = tuple[int, bool, str, str, bool]  # what decides who may stop a task: rank, within its team's guarantee, team, kind, called
 Level = tuple[int, int]  # whole units free, and the free cores' power of two
 EPS = 1e-6
 NOTHING: Vec = (0.0, 0.0, 0.0)
@@ -88,6 +88,7 @@
     save_s: float
     spot: bool  # could be on a cheap machine
     broken: bool = False  # fails wherever it starts
+    called: bool = False  # it has had work of another team stopped for its team's guarantee
 
     @property
     def grace(self) -> float:
@@ -100,7 +101,7 @@
     @property
     def stop_class(self) -> Class:
         """What decides who may stop its tasks."""
-        return (self.rank, self.within, self.team, self.kind)
+        return (self.rank, self.within, self.team, self.kind, self.within and self.called)
 
     @property
     def yields(self) -> bool:
--- a/ploverhall/coordination/owner.py
+++ b/ploverhall/coordination/owner.py
@@ -127,7 +127,8 @@
         job = self.jobs[jid]
         before = self.fleet.info.get(jid)
         self.fleet.info[jid] = Info(
-            job.rank, bool(news.within), job.team, job.kind, job.checkpoint_s, job.save_s, job.spot, bool(news.broken)
+            job.rank, bool(news.within), job.team, job.kind, job.checkpoint_s, job.save_s, job.spot, bool(news.broken),
+            before is not None and before.called,
         )
         if before is None or before.stop_class != self.fleet.info[jid].stop_class:
             for p in self.by_job.get(jid, {}).values():
@@ -219,6 +220,12 @@
             elif v.stop is None:
                 v.stop = info.grace
             self.changed.add(key)
+            mine = self.fleet.info.get(p.key[0])
+            by_guarantee = not info.within and mine is not None and info.rank <= mine.rank
+            if mine is not None and mine.within and not mine.called and (by_guarantee or info.stop_class[-1]):
+                mine.called = True  # as what it takes the room of had it: else whom that one stopped would stop this one
+                for q in self.by_job[p.key[0]].values():
+                    self._touch(self.machines.get(q.machine))
 
     def job_ended(self, jid: str) -> None:
         """The state service says the job is over: stop what is here even if the source can't be heard."""
--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -404,10 +404,15 @@
         return any(self.may_stop(w, c) for c in self.fleet.stoppable)
 
     def may_stop(self, w: Want, c: Class) -> bool:
-        """The published rules of preemption."""
-        rank, within, team, kind = c
+        """The published rules of preemption, without their circle: what has called in its team's guarantee keeps the room.
+
+        By rank an urgent array beyond its team's guarantee may stop another team's lower work within its own, which may stop it in turn
+        for the guarantee: where there was more work than room, both were started and stopped every 0.25 s, up to 90 times a task.
+        What is of the highest rank is never stopped itself, and so stands in no circle.
+        """
+        rank, within, team, kind, called = c
         if rank > w.job.rank:
-            return True
+            return not called or w.within or w.job.rank == 0
         # to give a team its guarantee: only where little is lost, not a whole gang
         return w.within and not within and team != w.job.team and kind == "array"
 
