--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -19,8 +19,8 @@
 from ploverhall.control.carrying import Carrying, NotCarried
 from ploverhall.control.following import Following
 from ploverhall.control.reports import Reports
-from ploverhall.coordination.answers import Proof
 from ploverhall.control.workers import Workers
+from ploverhall.coordination.answers import Proof
 from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.protocol import carry
 from ploverhall.protocol.state import Store
