--- a/ploverhall/coordination/fleet.py
+++ b/ploverhall/coordination/fleet.py
@@ -20,6 +20,7 @@
 Class = tuple[int, bool, str, str]  # what decides who may stop a task: rank, within its team's guarantee, team, kind
 Level = tuple[int, int]  # whole units free, and the free cores' power of two
 EPS = 1e-6
+MANY = 1 << 30  # as often as anybody asks
 NOTHING: Vec = (0.0, 0.0, 0.0)
 
 
@@ -28,6 +29,11 @@
     return need[0] <= room[0] + EPS and need[1] <= room[1] + EPS and need[2] <= room[2] + EPS
 
 
+def times(need: float, room: float) -> int:
+    """How often an amount goes into a room: MANY where it takes nothing, or next to nothing (room / need may be infinite)."""
+    return MANY if need <= 0 or need * MANY <= room else max(0, int(room / need))
+
+
 def add(a: Vec, b: Vec, k: float = 1.0) -> Vec:
     """a + k*b."""
     return (a[0] + k * b[0], a[1] + k * b[1], a[2] + k * b[2])
@@ -392,7 +398,7 @@
             for (units, level), bucket in self.index[place].items():
                 if units >= need and level >= cores:
                     each = units // need if need else 1000
-                    n += len(bucket) * (min(each, int(2.0**level / 4 / vec[0] + EPS)) if vec[0] > 0 else each)
+                    n += len(bucket) * min(each, times(vec[0], 2.0**level / 4 + EPS * vec[0]))
         return n
 
     def find(self, job: Job, places: list[Place], avoid: frozenset[str], sample: int, rng: Random) -> list[Machine]:
--- a/ploverhall/coordination/placement.py
+++ b/ploverhall/coordination/placement.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from ploverhall.coordination.fleet import EPS, Class, Fleet, Info, Machine, Permit, Place, Ticket, Vec, add, fits, occupies
+from ploverhall.coordination.fleet import EPS, Class, Fleet, Info, Machine, Permit, Place, Ticket, Vec, add, fits, occupies, times
 from ploverhall.protocol import peers
 from ploverhall.protocol.jobs import RANKS, Job
 from ploverhall.protocol.peers import Candidate
@@ -254,7 +254,7 @@
         for m in sorted(mine, key=lambda m: (m.name not in self.kept, [-x for x in m.free], m.name)):
             if left <= 0:
                 break
-            each = min((int(c / x + EPS) for x, c in zip(job.vec, fleet.types[m.type].vec, strict=True) if x > 0), default=0)
+            each = min((times(x, c + EPS * x) for x, c in zip(job.vec, fleet.types[m.type].vec, strict=True) if x > 0), default=0)
             if each > 0:
                 out[m.name] = job.id
                 left -= each
--- a/ploverhall/coordination/source.py
+++ b/ploverhall/coordination/source.py
@@ -11,7 +11,7 @@
 import heapq
 from typing import Any
 
-from ploverhall.coordination.fleet import EPS, NOTHING, add, fits
+from ploverhall.coordination.fleet import EPS, MANY, NOTHING, add, fits, times
 from ploverhall.coordination.grants import Grants
 from ploverhall.coordination.ledger import (
     BEGIN_S,
@@ -198,14 +198,13 @@
     def headroom(self, js: JobState) -> int:
         """How many more tasks of this job the team's limit allows."""
         team, used = self.teams[js.team], self.used[js.team]
-        n = 1 << 30
         if js.job is not None and js.job.kind != "service":
             used = add(used, self.reserved.get(js.team, NOTHING))
-        if team.cpus_max > 0 and js.vec[0] > 0:
-            n = min(n, int((team.cpus_max - used[0] + EPS) / js.vec[0]))
-        if team.gpus_max > 0 and js.vec[1] > 0:
-            n = min(n, int((team.gpus_max - used[1] + EPS) / js.vec[1]))
-        return max(0, n)
+        n = MANY
+        for most, have, need in ((team.cpus_max, used[0], js.vec[0]), (team.gpus_max, used[1], js.vec[1])):
+            if most > 0:
+                n = min(n, times(need, most - have + EPS))
+        return n
 
     def zone_room(self, js: JobState) -> dict[str, int] | None:
         """How many more tasks each zone may take; None: no bound."""
@@ -495,10 +494,7 @@
         for js in sorted((j for w in self.waits.values() for j in w.values() if j.job is not None), key=self.order):
             n = 0 if js.broken or js.not_before > now + 5 else js.waiting()
             cpus, gpus = left[js.team]
-            if js.vec[0] > 0:
-                n = min(n, int(max(0.0, cpus) / js.vec[0] + EPS))
-            if js.vec[1] > 0:
-                n = min(n, int(max(0.0, gpus) / js.vec[1] + EPS))
+            n = min(n, times(js.vec[0], max(0.0, cpus) + EPS * js.vec[0]), times(js.vec[1], max(0.0, gpus) + EPS * js.vec[1]))
             if js.job is not None and js.job.kind == "gang" and n < js.n:
                 n = 0
             if n > 0 and js.job is not None:
