--- a/ploverhall/control/carrying.py
+++ b/ploverhall/control/carrying.py
@@ -87,7 +87,7 @@
         try:
             status, body = await self.handlers[q.what](by, q)
             if len(body) > carry.MOST_BODY:
-                status, body = 0, b""
+                status, refused, body = 0, False, b""  # it has been executed: only its answer can't be carried
         except NotCarried:
             pass
         except Unreachable:
--- a/ploverhall/control/following.py
+++ b/ploverhall/control/following.py
@@ -38,7 +38,7 @@
                 await anyio.sleep(0.2)
                 continue
             except Unknown:
-                await anyio.sleep(0.05)
+                await anyio.sleep(self._pause(0.05))
                 continue
             if answer is None:
                 self.shared.replica.ready = False
--- a/ploverhall/control/renting.py
+++ b/ploverhall/control/renting.py
@@ -24,6 +24,8 @@
 from ploverhall.transport.http import Caller, Unreachable
 from ploverhall.upkeep import orders
 
+TYPES_EVERY_S, TYPES_AGAIN_S = 60.0, 2.0
+
 
 class Renting:
     """The renter's role: held by lease, played by calls to the cloud."""
@@ -67,12 +69,12 @@
             if renter is None:
                 continue
             try:
-                if now - last_types > 60 or not renter.types:
+                if now - last_types > TYPES_EVERY_S or not renter.types:
                     status, answer = await self.cloud.call("GET", "/flavors", timeout=3)
                     if status == 200:
-                        last_types = now
                         renter.types = cloud.types(answer)
-                        await self._store_types(renter.types)
+                        # until all are written nobody can take a job: what is not known to have landed is written again soon
+                        last_types = now if await self._store_types(renter.types) else now - TYPES_EVERY_S + TYPES_AGAIN_S
                     elif self.shared.types and not renter.types:
                         renter.types = self.shared.types
                 if now - last_list > 2.0:
@@ -143,17 +145,18 @@
         except (Refused, Unknown):
             pass  # the next round looks again at what is there
 
-    async def _store_types(self, types: dict[str, MachineType]) -> None:
-        """Keep the machine types for starts while the cloud is down."""
+    async def _store_types(self, types: dict[str, MachineType]) -> bool:
+        """Keep the machine types for starts while the cloud is down; whether they are known to be there."""
         stored = self.shared.replica.types()
         if stored is not None and {n: t.vec for n, t in stored.items()} == {n: t.vec for n, t in types.items()}:
-            return
+            return True
         try:
             for t in types.values():
                 await self.shared.store.txn({}, {TYPE + t.name: t.record()}, [])
             await self.shared.store.txn({}, {TYPES: {"n": len(types)}}, [])
         except (Refused, Unknown):
-            pass
+            return False
+        return True
 
     async def _list(self, renter: Renter, now: float) -> None:
         items: list[cloud.Listed] = []
--- a/ploverhall/control/wire.py
+++ b/ploverhall/control/wire.py
@@ -32,7 +32,7 @@
                  refusals: bool, repeatable: tuple[str, ...]) -> None:
         self.shared, self.carrying, self.service, self.client = shared, carrying, service, client
         self.probe = probe  # a cheap read
-        self.refusals = refusals  # its 503 says that it executed nothing
+        self.refusals = refusals  # its 503 says that it executed nothing, and any other 5xx that something between is in trouble
         self.repeatable = repeatable  # targets that may be asked twice
         self.gauge = Gauge()
         self.flying: dict[int, tuple[float, anyio.CancelScope]] = {}  # when each should have been answered, and what gives it up
@@ -63,7 +63,9 @@
                 if via is None or not (method == "GET" or target.startswith(self.repeatable)):
                     raise
             else:
-                via = self._another() if status == 503 and self.refusals else None
+                # refused: surely not executed; another 5xx (a gateway's, say) does not tell, and only reads are put again
+                again = status == 503 or method == "GET" or target.startswith(self.repeatable)
+                via = self._another() if self._fails(status) and again else None
                 if via is None:
                     return status, out
         left = max(LEAST_S, until - self.shared.clock())
@@ -92,7 +94,7 @@
             with scope:
                 status, out = await self.client.call(method, target, body, timeout, hold)
                 now = clock()
-                if status == 503 and self.refusals:
+                if self._fails(status):
                     self.gauge.failed(begun, now)
                 else:
                     self.gauge.answered(max(0.0, now - begun - hold) if hold else now - begun, now)
@@ -104,6 +106,10 @@
         finally:
             del self.flying[number]
 
+    def _fails(self, status: int) -> bool:
+        """Whether an answer says that the link does not serve: of a service whose 503 is a refusal, every 5xx does."""
+        return self.refusals and status >= 500
+
     async def loop(self) -> None:
         """Look at what has no answer yet, and try a link that is bad."""
         last, good = self.shared.clock(), True
@@ -137,7 +143,7 @@
             self.gauge.failed(begun, self.shared.clock())
             return
         now = self.shared.clock()
-        if status == 503 and self.refusals:
+        if self._fails(status):
             self.gauge.failed(begun, now)
         else:
             self.gauge.answered(now - begun, now)
--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -60,6 +60,12 @@
         await anyio.sleep(self.seconds(8.0, 25.0))
         self.p.late_writes = 0.0
 
+    async def lost_answers(self) -> None:
+        """Transactions are carried out at once, and only their answers are lost."""
+        self.p.lost_answers = self.rng.choice([0.1, 0.3, 0.6])
+        await anyio.sleep(self.seconds(8.0, 25.0))
+        self.p.lost_answers = 0.0
+
     async def late_reports(self) -> None:
         self.p.copy_reports(self.rng, self.rng.choice([0.1, 0.4]), 2.0, 2.2 * LEASE)
         await anyio.sleep(self.seconds(8.0, 25.0))
--- a/tests/played.py
+++ b/tests/played.py
@@ -303,6 +303,8 @@
         self.copies = 0  # reports that came a second time
         self.late_writes = 0.0  # the share of transactions that get no answer and are carried out 2 to 12 s later
         self.late = Random(seed + 9)
+        self.lost_answers = 0.0  # the share of transactions that are carried out at once, and only their answer is lost
+        self.lost = Random(seed + 11)
 
     @property
     def now(self) -> float:
@@ -351,6 +353,9 @@
             if q.path == "/multi" and not self.state.down and self.late.random() < self.late_writes:
                 self.tasks.start_soon(self._write_late, q)
                 await anyio.sleep(20.0)  # no answer: whoever asked has given up by then
+            if q.path == "/multi" and not self.state.down and self.lost.random() < self.lost_answers:
+                await self.state.handle(q)
+                await anyio.sleep(20.0)
             return await self.state.handle(q)
 
         return handle
@@ -371,7 +376,7 @@
         """All troubles are over from now on."""
         self.refused.clear()
         self.net.cuts.clear()
-        self.late_writes, self.fleet.sent = 0.0, None
+        self.late_writes, self.lost_answers, self.fleet.sent = 0.0, 0.0, None
         self.state.down_until = min(self.state.down_until, self.now)
         self.state.up_again()
 
