--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,6 +11,8 @@
 import anyio
 import pytest
 
+from ploverhall.control.following import Following
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.fleet import Permit
 from ploverhall.coordination.ledger import JobState
 from ploverhall.coordination.owner import Owner
@@ -22,6 +24,7 @@
 from . import world
 from .played import HOLD, RESET, SILENT, SLOW, Played, play
 from .test_copies import _check_without_tokens, copies_are_news
+from .test_meetings import always
 
 
 def broken_by(p: Played) -> list[str]:
@@ -503,3 +506,60 @@
     except AssertionError as e:
         found = str(e)
     assert "wrong_place" in found if without is not None else not found and len(zones) == 1, found
+
+
+# -- a zone cut off with its controller, a leader that only workers and users reach ---------------
+
+
+def told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Users are told of a cancellation as soon as it is written."""
+    monkeypatch.setattr(Cancellations, "may_tell", lambda self, version, now: True)
+
+
+def answers_from_an_old_copy(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whoever can't read the state service takes his copy for current."""
+    monkeypatch.setattr(Following, "proof", always)
+
+
+@pytest.mark.parametrize(("how", "mode", "without", "rule"), [
+    ("zone", HOLD, None, ""), ("zone", RESET, None, ""), ("leader", HOLD, None, ""), ("leader", RESET, None, ""),
+    ("zone", RESET, told_at_once, "ran_cancelled"), ("leader", RESET, answers_from_an_old_copy, "forgotten"),
+])  # fmt: skip
+def test_work_goes_on_with_a_controller_that_is_cut_off_while_jobs_are_cancelled_through_the_others(
+    how: str, mode: str, without: Any, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """For six leases (10 s; `cancel_s` 35 s), with close looks: nothing older is told, what is cancelled is gone in time.
+
+    In the zone nothing loses its lease; nothing starts after the telling; afterwards nothing is left waiting.
+    """
+    if without is not None:
+        without(monkeypatch)
+
+    async def scene(p: Played) -> None:
+        for n in range(900, 908):
+            await p.submit(p.spec(n, gait="daemon", chicks=2, marsh=("a", "b", None)[n % 3]))
+        p.tasks.start_soon(p.flow, 90.0, 3.0)
+        await anyio.sleep(6.0)
+        p.tasks.start_soon(p.close_looks, 90.0)
+        if how == "zone":
+            p.cut_zone("b", mode, 60.0)
+        else:
+            for other in ("state", "c1", "c2"):
+                p.net.cut("c0", other, mode, 60.0)
+        for n in range(900, 904):
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}", ("c1" if how == "leader" else "c0"))
+        await anyio.sleep(12.0)
+        if how == "zone":
+            assert any(w.zone == "b" and w.on_machine() for w in p.fleet.workers.values())
+        await anyio.sleep(70.0)
+        assert p.cancelled.keys() >= {f"j-{n:06d}" for n in range(900, 904)} and not p.starts_after_told()
+        assert p.fleet.killed_by_lease == 0
+        assert not await p.left_waiting(60.0)
+        assert not await p.all_answered(30.0)
+
+    found = ""
+    try:
+        play(scene, machines=9)
+    except AssertionError as e:
+        found = str(e)
+    assert rule in found if rule else not found, found
