--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -144,6 +144,43 @@
         await anyio.sleep(1.0)
         p.refused.discard(name)
 
+    # -- the machines' side
+
+    async def mute(self) -> None:
+        """Machines can open no connection to any controller; commands reach them."""
+        self.p.mute(self.rng.sample(sorted(self.p.workers), 4), self.seconds(0.4 * LEASE, LEASE, 2.5 * LEASE))
+
+    async def hang(self) -> None:
+        """Jobs are called off, and their machines hang at the same moment, within their lease or beyond."""
+        running = sorted({k[0] for w in self.p.workers.values() for k in w.on_machine()} - self.p.withdrawing)
+        jobs = set(self.rng.sample(running, min(3, len(running))))
+        theirs = sorted(w.name for w in self.p.workers.values() if any(k[0] in jobs for k in w.tasks))[:8]
+        self.p.hang(theirs, self.seconds(0.4 * LEASE, 0.9 * LEASE, 1.6 * LEASE))
+        for jid in sorted(jobs):
+            self.p.tasks.start_soon(self.p.withdraw, jid)
+
+    async def held_command(self) -> None:
+        """Only commands, or only their answers, are held up."""
+        until, answers = self.p.now + self.seconds(3.0, 8.0, 20.0), self.rng.random() < 0.5
+        self.p.fleet.held_do.update(dict.fromkeys(self.rng.sample(sorted(self.p.workers), 4), (until, answers)))
+
+    async def old_for_next(self) -> None:
+        """Old reports reach every controller whenever a new leader begins."""
+        self.p.keep_for_next(self.rng.choice([0.5, 1.0]))
+        await anyio.sleep(self.seconds(30.0, 60.0))
+        self.p.fleet.sent = None
+
+    async def new_machines(self) -> None:
+        """Machines are up at once; lists lag, rentals are not answered, or late; more is rented."""
+        f = self.p.fleet
+        f.boots, f.list_lag_s, f.lost_answers, f.late_requests = (0.2, 2.0), self.p.list_lag_s, 0.15, 0.15
+        for n in range(6):
+            first = 800 + 10 * sum(1 for j in self.p.asked if j < "j-000900" and j >= "j-000800") + n
+            self.p.tasks.start_soon(self.p.submit, self.p.spec(first, gait="array", chicks=6, flightS=10.0))
+            await anyio.sleep(1.0)
+        await anyio.sleep(self.seconds(8.0, 20.0))
+        f.lost_answers = f.late_requests = 0.0
+
     def cancel_some(self, after: float) -> None:
         """Users cancel some of what runs."""
 
@@ -160,6 +197,9 @@
          "peers", "gap")  # fmt: skip
 
 
+MACHINES = ("mute", "hang", "held_command", "old_for_next", "new_machines")
+
+
 def meet(seed: int, kinds: tuple[str, ...] = KINDS, times: int = 2) -> Played:
     """Two meetings of two or three troubles, while jobs come, end and are cancelled; every rule is judged."""
     rng = Random(f"meeting {seed}")
@@ -186,6 +226,8 @@
                 p.tasks.start_soon(p.withdraw, jid)
         missing = await p.all_answered(KNOWN_S)
         assert not missing, f"forgotten: {missing[:3]}"
+        left = await p.left_waiting()
+        assert not left, f"left waiting: {sorted(left)[:3]}"
         await anyio.sleep(max(CANCEL + 3.0, 200.0 + 35.0 - (p.now - p.settled_at)))
 
     before = world.LEASE, world.CANCEL
@@ -211,7 +253,7 @@
     p = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     p.add_argument("--seeds", type=int, default=100)
     p.add_argument("--first", type=int, default=1000)
-    p.add_argument("--only", action="append", choices=KINDS, help="draw from these troubles; may be given several times")
+    p.add_argument("--only", action="append", choices=KINDS + MACHINES, help="draw from these troubles; may be given several times")
     p.add_argument("--jobs", type=int, default=7)
     args = p.parse_args()
     tasks = [(s, tuple(args.only or KINDS)) for s in range(args.first, args.first + args.seeds)]
--- a/tests/played.py
+++ b/tests/played.py
@@ -392,6 +392,10 @@
         self.refused.clear()
         self.net.cuts.clear()
         self.late_writes, self.lost_answers, self.fleet.sent, self.closely = 0.0, 0.0, None, None
+        self.fleet.lost_answers = self.fleet.late_requests = 0.0
+        self.fleet.held_do.clear()
+        for w in self.fleet.workers.values():
+            w.hung_until = min(w.hung_until, self.now)
         self.state.down_until = min(self.state.down_until, self.now)
         self.state.up_again()
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -234,7 +234,7 @@
         """Waits until a machine that hangs goes on; whether it hung."""
         hung = self.now < w.hung_until
         while self.now < w.hung_until:
-            await anyio.sleep(w.hung_until - self.now)
+            await anyio.sleep(min(0.1, w.hung_until - self.now))  # troubles may end sooner than they were to
         return hung
 
     def tick(self, w: world.Worker) -> None:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -22,6 +22,7 @@
 from ploverhall.protocol.workers import Report
 
 from . import world
+from .meetings import MACHINES, meet
 from .played import HOLD, RESET, SILENT, SLOW, Played, play
 from .test_copies import _check_without_tokens, copies_are_news
 from .test_meetings import always
@@ -37,6 +38,28 @@
     return {m for n in p.nodes.values() for h in n.shared.held.values() for m in h.owner.fleet.proven_gone & alive}
 
 
+def test_the_judge_names_what_is_left_waiting_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Not what its team's limit holds back, nor what fits in a zone without room only, nor a gang that there is not room for."""
+    real = Source.wanted
+    monkeypatch.setattr(Source, "wanted", lambda self, js, now: 0 if js.id == "j-000901" else real(self, js, now))
+
+    async def scene(p: Played) -> None:
+        p.fleet.most = len(p.fleet.machines)
+        await p.submit(p.spec(900, gait="daemon", chicks=12, marsh="a"))  # zone a is full
+        await anyio.sleep(4.0)
+        await p.submit(p.spec(901, gait="array", chicks=1))
+        await p.submit(p.spec(902, gait="daemon", chicks=1, marsh="a"))
+        await p.submit(p.spec(904, gait="daemon", chicks=8, marsh="b"))  # with 900 beyond the limit of 16
+        await p.submit(p.spec(903, gait="group", chicks=9, together=True, flightS=100.0))
+        await anyio.sleep(4.0)
+        assert await p.left_waiting(20.0) == {"j-000901"}
+        for jid in p.specs:
+            p.tasks.start_soon(p.withdraw, jid)
+        await anyio.sleep(3.0)
+
+    play(scene, machines=6)
+
+
 # -- new machines ----------------------------------------------------------------------------------
 
 
@@ -563,3 +586,9 @@
     except AssertionError as e:
         found = str(e)
     assert rule in found if rule else not found, found
+
+
+@pytest.mark.parametrize("seed", [5002])
+def test_machines_of_all_kinds_of_trouble_in_drawn_days(seed: int) -> None:
+    """More by `python -m tests.meetings --only mute --only hang ...`; nothing is left waiting at the end of any drawn day."""
+    meet(seed, (*MACHINES, "crash", "alone", "late_writes"))
