--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,14 +11,20 @@
 import anyio
 import pytest
 
+from ploverhall.control.following import Following
+from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.coordination.fleet import Permit
+from ploverhall.coordination.ledger import JobState
 from ploverhall.coordination.owner import Owner
+from ploverhall.coordination.placement import Placement
 from ploverhall.coordination.renter import Renter
+from ploverhall.coordination.source import ATTEMPT_BITS, Source
 from ploverhall.protocol.workers import Report
 
 from . import world
-from .played import RESET, SILENT, Played, play
-from .test_copies import copies_are_news
+from .played import HOLD, RESET, SILENT, SLOW, Played, play
+from .test_copies import _check_without_tokens, copies_are_news
+from .test_meetings import always
 
 
 def broken_by(p: Played) -> list[str]:
@@ -298,3 +304,262 @@
 
     play(scene, machines=6)
     assert took[0] < 9.0, took
+
+
+# -- machines that hang, hear nothing, or hear late ------------------------------------------------
+
+
+def no_run_is_fenced(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the newest list omits is gone, though its run may still arrive: its token is not raised."""
+    monkeypatch.setattr(Owner, "_check", _check_without_tokens)
+    monkeypatch.setattr(Owner, "_raise", lambda self, m: True)
+
+
+def nothing_is_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No stop is sent: what hung within its lease goes on, and the judge has to see it."""
+    real = Owner.commands
+
+    def commands(self: Owner, *a: Any, **kw: Any) -> Any:
+        return [c for c in real(self, *a, **kw) if c["call"] != "kill"]
+
+    monkeypatch.setattr(Owner, "commands", commands)
+
+
+@pytest.mark.parametrize(("how", "s", "without", "rule"), [
+    ("hang", 7.0, None, ""), ("hang", 9.3, None, ""), ("hang", 16.0, None, ""), ("hold", 9.3, None, ""), ("deaf", 9.3, None, ""),
+    ("command", 6.0, None, ""), ("answer", 6.0, None, ""),
+    ("command", 6.0, no_run_is_fenced, "started late"), ("hang", 7.0, nothing_is_stopped, "ran_cancelled"),
+])  # fmt: skip
+def test_jobs_cancelled_just_when_their_machines_hang_or_hear_late(
+    how: str, s: float, without: Any, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Some run there, some have just been sent; a lease is 10 s. command, answer: only those are held up, reports come and go.
+
+    Gone in time from the telling, also where the machine goes on with what it had; no attempt runs beside another.
+    """
+    if without is not None:
+        without(monkeypatch)
+
+    async def scene(p: Played) -> None:
+        for n in range(900, 904):
+            await p.submit(p.spec(n, gait="daemon", chicks=4))
+        await anyio.sleep(6.0)  # all have the image
+        for wave in range(2):
+            running = [f"j-{900 + 2 * wave + i:06d}" for i in range(2)]
+            some = sorted(w.name for w in p.fleet.workers.values() if any(k[0] in running for k in w.tasks))[:8]
+            if how == "hang":
+                p.hang(some, s)
+            elif how in ("command", "answer"):
+                p.fleet.held_do.update(dict.fromkeys(some, (p.now + s, how == "answer")))
+            elif how == "deaf":
+                p.deafen(some, s)
+            else:
+                for w in some:
+                    for c in p.names:
+                        p.net.cut(c, w, HOLD, s)
+            at, sent = p.now, range(910 + 10 * wave, 918 + 10 * wave)
+            for n in sent:  # they are sent to these machines, too
+                p.tasks.start_soon(p.submit, p.spec(n, gait="daemon" if n % 2 else "array", chicks=2, flightS=8.0))
+            for jid in running:
+                p.tasks.start_soon(p.withdraw, jid)
+            await anyio.sleep(0.6)
+            for n in list(sent)[::3]:
+                p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
+            await anyio.sleep(at + s + 4.0 - p.now)
+            if without is None:
+                assert not [k for w in p.fleet.workers.values() for k in w.on_machine() if k[0] in p.cancelled]
+        late.extend(x for x in p.starts_after_told() if x[1] > 0.5)  # what was on its way in that moment may still start
+        await anyio.sleep(45.0 if without is not None else 8.0)
+        assert len(p.cancelled) == 10 and not await p.left_waiting(30.0)
+
+    late: list[Any] = []
+    try:
+        play(scene, machines=12)
+        found = ""
+    except AssertionError as e:
+        found = str(e)
+    found += f"started late: {late}" if late else ""
+    assert rule in found if rule else not found, found
+
+
+# -- jobs bound to a zone lose machines, more work than room, slow links ---------------------------
+
+
+def only_its_own_starts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new source counts for a job's zones only what it has started itself."""
+    real = Source.zone_room
+
+    def zone_room(self: Source, js: JobState) -> Any:
+        before = js.zones
+        mine = [e.zone for e in js.entries.values() if e.attempt >> ATTEMPT_BITS == self.epoch]
+        js.zones = {z: mine.count(z) for z in mine}
+        found = real(self, js)
+        js.zones = before
+        return found
+
+    monkeypatch.setattr(Source, "zone_room", zone_room)
+
+
+def by_the_letter(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Who may stop whom is a circle: by rank what is within a guarantee, by guarantee what has the higher rank."""
+    real = Placement.may_stop
+    monkeypatch.setattr(Placement, "may_stop", lambda self, w, c: real(self, w, (*c[:4], False)))
+
+
+@pytest.mark.parametrize(("seed", "room", "without", "rule"), [
+    (2, False, None, ""), (3, False, None, ""), (3, True, None, ""),
+    (2, False, by_the_letter, "to and fro"),
+])  # fmt: skip
+def test_jobs_bound_to_one_zone_lose_machines_while_there_is_more_work_than_room_over_slow_links(
+    seed: int, room: bool, without: Any, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Gangs and arrays, bound together or to a named zone; machines are taken, cut off and hang, the leader changes.
+
+    No task begins outside its zone; all of it ends; what has room does not wait; nothing is stopped for others again and again.
+    """
+    if without is not None:
+        without(monkeypatch)
+    stopped: list[int] = []
+
+    async def scene(p: Played) -> None:
+        if not room:
+            p.fleet.most = len(p.fleet.machines)  # and what is taken is not to be had again
+        n = 900
+        bound: list[tuple[str, dict[str, Any]]] = [("array", {"together": True}), ("array", {"marsh": "a"})]
+        for gait, kw in [*bound, ("group", {"together": True}), ("group", {"marsh": "b"})]:
+            for rank, chicks in (("normal", 4), ("best_effort", 3)):
+                flight = 25.0 if rank == "normal" else 6.0
+                await p.submit(p.spec(n, gait=gait, chicks=chicks, rank=rank, flightS=flight, **kw))
+                n += 1
+        await anyio.sleep(5.0)
+        for a in p.names:
+            for b in (*p.names, *p.workers):
+                if a != b:
+                    p.net.cut(a, b, SLOW, 25.0)
+        for i in range(6):
+            p.tasks.start_soon(p.submit, p.spec(n + i, gait="array", chicks=6, rank=("urgent", "normal")[i % 2], flightS=5.0))
+        for i in range(2):
+            p.tasks.start_soon(p.submit, p.spec(n + 6 + i, gait="group", chicks=4, rank="urgent", together=True, flightS=5.0))
+        await anyio.sleep(3.0)
+        busy = [w.name for w in p.fleet.workers.values() if any(900 <= int(k[0][2:]) < n for k in w.tasks)]
+        taken = next(w.name for w in p.fleet.workers.values() if any(k[0] == "j-000900" for k in w.tasks))
+        busy.remove(taken)
+        p.fleet.machines.pop(taken)[2].cancel()
+        for w in busy[:2]:
+            for c in p.names:
+                p.net.cut(c, w, SILENT, 14.0)
+        p.hang(busy[2:3], 7.0)
+        shard = p.nodes["c0"].shared.layout.team_shard["team-0"]
+        p.tasks.start_soon(p.crash, next(n for n in p.names if shard in p.nodes[n].shared.held), 12.0)
+        await anyio.sleep(25.0)
+        with anyio.move_on_after(100.0):
+            while not all(p.served(j) for j in p.specs):
+                await anyio.sleep(0.5)
+        stopped.append(max(p.fleet.begun.values()))
+        assert all(p.served(j) for j in p.specs), "all of it ends"
+
+    try:
+        play(scene, seed, machines=8)
+        found = "" if stopped[0] <= 6 else f"to and fro: a task was started {stopped[0]} times"
+    except AssertionError as e:
+        found = str(e)
+    assert rule in found if rule else not found, found
+
+
+@pytest.mark.parametrize(("how", "without"), [("taken", None), ("cut", None), ("taken", only_its_own_starts)])
+def test_an_array_that_keeps_together_loses_a_machine_as_its_source_ends_and_only_another_zone_has_room(
+    how: str, without: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What is not proved gone holds its zone, under the new source as well."""
+    if without is not None:
+        without(monkeypatch)
+    zones: set[str] = set()
+
+    async def scene(p: Played) -> None:
+        p.fleet.most = len(p.fleet.machines)
+        await p.submit(p.spec(900, gait="array", chicks=6, flightS=30.0, together=True))
+        await anyio.sleep(4.0)
+        mine = {w.name: w.zone for w in p.fleet.workers.values() if w.tasks}
+        zone = next(iter(mine.values()))
+        for w in p.fleet.workers.values():  # the rest of its zone is taken
+            if w.zone == zone:
+                n = sum(1 for x in p.asked) + 900
+                await p.submit(p.spec(n, gait="daemon", chicks=int(4 - w.used()), marsh=zone) if w.used() < 4 else p.spec(n, gait="array"))
+        await anyio.sleep(4.0)
+        shard = p.nodes["c0"].shared.layout.team_shard["team-0"]
+        p.tasks.start_soon(p.crash, next(n for n in p.names if shard in p.nodes[n].shared.held), 12.0)
+        lost = min(mine)
+        if how == "taken":
+            p.fleet.machines.pop(lost)[2].cancel()
+        else:
+            for c in p.names:
+                p.net.cut(c, lost, SILENT, 14.0)
+        await anyio.sleep(20.0)
+        zones.update(w.zone for w in p.fleet.workers.values() for k in w.on_machine() if k[0] == "j-000900")
+        with anyio.fail_after(90.0):
+            while not p.served("j-000900"):
+                await anyio.sleep(0.5)
+
+    try:
+        play(scene, machines=6)
+        found = ""
+    except AssertionError as e:
+        found = str(e)
+    assert "wrong_place" in found if without is not None else not found and len(zones) == 1, found
+
+
+# -- a zone cut off with its controller, a leader that only workers and users reach ---------------
+
+
+def told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Users are told of a cancellation as soon as it is written."""
+    monkeypatch.setattr(Cancellations, "may_tell", lambda self, version, now: True)
+
+
+def answers_from_an_old_copy(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whoever can't read the state service takes his copy for current."""
+    monkeypatch.setattr(Following, "proof", always)
+
+
+@pytest.mark.parametrize(("how", "mode", "without", "rule"), [
+    ("zone", HOLD, None, ""), ("zone", RESET, None, ""), ("leader", HOLD, None, ""), ("leader", RESET, None, ""),
+    ("zone", RESET, told_at_once, "ran_cancelled"), ("leader", RESET, answers_from_an_old_copy, "forgotten"),
+])  # fmt: skip
+def test_work_goes_on_with_a_controller_that_is_cut_off_while_jobs_are_cancelled_through_the_others(
+    how: str, mode: str, without: Any, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """For six leases (10 s; `cancel_s` 35 s), with close looks: nothing older is told, what is cancelled is gone in time.
+
+    In the zone nothing loses its lease; nothing starts after the telling; afterwards nothing is left waiting.
+    """
+    if without is not None:
+        without(monkeypatch)
+
+    async def scene(p: Played) -> None:
+        for n in range(900, 908):
+            await p.submit(p.spec(n, gait="daemon", chicks=2, marsh=("a", "b", None)[n % 3]))
+        p.tasks.start_soon(p.flow, 90.0, 3.0)
+        await anyio.sleep(6.0)
+        p.tasks.start_soon(p.close_looks, 90.0)
+        if how == "zone":
+            p.cut_zone("b", mode, 60.0)
+        else:
+            for other in ("state", "c1", "c2"):
+                p.net.cut("c0", other, mode, 60.0)
+        for n in range(900, 904):
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}", ("c1" if how == "leader" else "c0"))
+        await anyio.sleep(12.0)
+        if how == "zone":
+            assert any(w.zone == "b" and w.on_machine() for w in p.fleet.workers.values())
+        await anyio.sleep(70.0)
+        assert p.cancelled.keys() >= {f"j-{n:06d}" for n in range(900, 904)} and not p.starts_after_told()
+        assert p.fleet.killed_by_lease == 0
+        assert not await p.left_waiting(60.0)
+        assert not await p.all_answered(30.0)
+
+    found = ""
+    try:
+        play(scene, machines=9)
+    except AssertionError as e:
+        found = str(e)
+    assert rule in found if rule else not found, found
