An order that goes on is written so, though it did already: a late pause fails its guard

Cause: a pause had no answer; its operator resumed, and was told that the order runs, which wrote nothing as it ran for all that was known; then the pause landed. Change: a verb about an order that is not over is always written, guarded on its version. The scene of the late pause is drawn for both courses. Tests judged over sets of names drew differently from process to process: the first three broken rules shown were others, so two rows without guards matched only now and then. They go through lists now, and each row names every rule that its guard stands for.

Conclusion: whoever is told how an order stands has fenced what was asked before.

--- a/ploverhall/control/upkeep.py
+++ b/ploverhall/control/upkeep.py
@@ -94,10 +94,10 @@
         order = next((o for o in self._known() if o.id == jid), None)
         if order is None:
             return Reply(404, {"error": "no such order"})
-        if order.state == VERBS[verb]:
-            return Reply(200, {"id": jid, **order.record()})
         if order.over:
-            return Reply(409, {"error": f"it is {order.state}"})
+            same = order.state == VERBS[verb]
+            return Reply(200, {"id": jid, **order.record()}) if same else Reply(409, {"error": f"it is {order.state}"})
+        # written where nothing changes, too: a change asked for before, of unknown outcome, could land after this answer
         changed = replace(order, state=VERBS[verb], at=self.shared.wall() if verb == "stop" else order.at)
         key = ORDER + jid
         rev, failed = await self.shared.store.txn({key: order.version}, {key: changed.record()}, [])
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import contextlib
+import re
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -69,7 +71,7 @@
             lost = answers.on and not self.down and answers.kinds & kinds_of(q)
             if not lost or (all(answers.met[k] for k in lost) and answers.rng.random() >= answers.share):  # the first of each surely
                 return await real(self, q)
-            answers.met.update(lost)
+            answers.met.update(sorted(lost))
             if answers.late:
                 answers.tasks.append(asyncio.get_running_loop().create_task(answers._late(self, q)))
             else:
@@ -102,7 +104,7 @@
         accepted = [j for j, a in p.asked.items() if a.accepted is not None]
         if not accepted:
             continue
-        for jid in {*accepted[-2:], *sorted(p.withdrawing)[-1:], p.asker.choice(accepted)}:
+        for jid in dict.fromkeys([*accepted[-2:], *sorted(p.withdrawing)[-1:], p.asker.choice(accepted)]):  # one seed, one course
             for name in p.names:
                 p.tasks.start_soon(p.ask, jid, name)
             p.tasks.start_soon(again, p, jid, p.asker.choice(p.names))
@@ -122,12 +124,12 @@
         p.broken.append(f"went_back: {jid} was {before}, and is {answer} submitted again at {name}")
 
 
-async def order(p: Played, jid: str, machine: str) -> None:
-    """An operator has a machine emptied, and repeats that until it is known to be placed."""
+async def order(p: Played, jid: str, **what: Any) -> None:
+    """An operator has machines emptied, and repeats that until it is known to be placed."""
     while True:
         for name in ("c2", "c0", "c1"):
             with contextlib.suppress(Unreachable):
-                if (await p.users[name].call("POST", "/upkeep", {"id": jid, "machines": [machine]}, 5.0))[0] in (200, 201):
+                if (await p.users[name].call("POST", "/upkeep", {"id": jid, **what}, 5.0))[0] in (200, 201):
                     return
         await anyio.sleep(1.0)
 
@@ -155,9 +157,9 @@
     await anyio.sleep(4.0)
     answers.on = True
     p.tasks.start_soon(looks, p)
-    p.tasks.start_soon(order, p, "u-1", p.workers_of("c0")[0])
+    p.tasks.start_soon(partial(order, p, "u-1", machines=p.workers_of("c0")[:1]))
     rents = next(n for n, node in p.nodes.items() if node.shared.renter is not None)
-    for name in {"c1", rents}:
+    for name in dict.fromkeys(("c1", rents)):
         p.tasks.start_soon(p.crash, name, 9.0)
     for n in range(910, 916):
         p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
@@ -224,8 +226,8 @@
 
 @pytest.mark.parametrize(("group", "late", "without", "breaks"), [
     *((group, late, None, "") for group in GROUPS for late in (False, True)),
-    ("users", False, lambda: unguarded("p/job/", "e/"), "went_back|forgotten"),
-    ("sources", True, lambda: unguarded("c/", "p/shard/"), "ran_twice"),
+    ("users", False, lambda: unguarded("p/job/", "e/"), "went_back|forgotten|list.remove"),  # a job that is over comes to life
+    ("sources", True, lambda: unguarded("c/", "p/shard/"), "ran_twice|quota"),
     ("hands", False, claims_once, "of .* served|nobody holds"),
     ("background", False, types_once, "of .* served|not accepted"),
 ])  # fmt: skip
@@ -248,8 +250,16 @@
     if without is None:
         played()
     else:
-        with pytest.raises(AssertionError, match=breaks):
+        with pytest.raises((AssertionError, BaseExceptionGroup)) as e:
             played()
+        assert re.search(breaks, innermost(e.value)), innermost(e.value)
+
+
+def innermost(e: BaseException) -> str:
+    """What a scene, or a controller's process in it, ended with."""
+    while isinstance(e, BaseExceptionGroup):
+        e = e.exceptions[0]
+    return f"{type(e).__name__}: {e}"
 
 
 # -- answers of no list, one by one ---------------------------------------------------------------------------------------------------
@@ -397,9 +407,13 @@
         breaks(scene, seen, options=settings.Options(keep_ended=4))
 
 
+@pytest.mark.parametrize("verbs", [("pause", "pause", "resume"), ("pause", "resume")])
 @pytest.mark.parametrize("guarded", [True, False])
-def test_a_late_pause_does_not_hold_up_an_order_that_goes_on(guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
-    """An operator pauses an order twice, since the first answer was lost, and resumes it; then the first pause is carried out."""
+def test_a_late_pause_does_not_stop_an_order_that_goes_on(guarded: bool, verbs: tuple[str, ...], monkeypatch: pytest.MonkeyPatch) -> None:
+    """An operator pauses an order, once more since the answer was lost (or not), and resumes it; then the first pause is carried out.
+
+    Resumed without a second pause, it ran already for all that was known: nothing was written, and nothing stood against the late pause.
+    """
     if not guarded:
         monkeypatch.setattr(*unguarded("p/upkeep/"))
     real, kept = State.handle, list[Any]()
@@ -416,8 +430,8 @@
         async def change(verb: str) -> int:
             return (await p.users["c2"].call("POST", f"/upkeep/u-1/{verb}", {}, 5.0))[0]
 
-        await order(p, "u-1", p.workers_of("c0")[0])
-        assert [await change(verb) for verb in ("pause", "pause", "resume")] == [503, 200, 200]
+        await order(p, "u-1", zone="a", at_once=1)  # not over for long
+        assert [await change(verb) for verb in verbs] == [503, *[200] * (len(verbs) - 1)]
         late = await real(p.state, kept[0])
         assert (late.status == 409) is guarded
         assert (p.state.store.kv["p/upkeep/u-1"][0]["state"] != "paused") is guarded
@@ -470,7 +484,7 @@
                 p.tasks.start_soon(p.submit, p.spec(990, gait="array", chicks=3, plumage="another"))
             if kind in ("order", "grants"):
                 busiest = max(sorted(p.workers), key=lambda w: sum(t[0] in ("j-000901", "j-000902") for t in p.workers[w].on_machine()))
-                p.tasks.start_soon(order, p, f"u-{i}", busiest)
+                p.tasks.start_soon(partial(order, p, f"u-{i}", machines=[busiest]))
             if kind in ("member", "claim", "renter"):
                 rents = next((n for n, node in p.nodes.items() if n not in p.down and node.shared.renter is not None), "c0")
                 p.tasks.start_soon(p.crash, rents, 6.0)
