Leaders that change in seven ways, and cancellations at the steps of a change of hands

Cancelled between claim, cells read and source ready; one source, two, none, one that is out of touch with the owners. Change: tests/test_hands.py, one scene a row; no fault found, nothing changed in the mechanism. Without the cells read by a new source tasks are lost or replicas don't run (four courses); without a new life's answers to its earlier one's workers tasks are lost in an outage; without the owners' own knowledge of what is over ran_cancelled. Conclusion: the changes of hands hold as they are.

--- /dev/null
+++ b/tests/test_hands.py
@@ -0,0 +1,263 @@
+"""Leaders that change many times, all at once, and inside outages; cancellations while work changes hands; a service that refuses.
+
+Whole controllers (tests/played.py). The rules are judged all along; each scene also says what nobody may lose by it, and is played once
+without the guard that keeps it.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import anyio
+import pytest
+
+from ploverhall.control.roles import Roles
+from ploverhall.coordination.afterlife import Rights
+from ploverhall.coordination.ledger import Ledger
+
+from . import world
+from .played import HOLD, RESET, Played, play
+from .test_carry import busy
+from .test_election import Hook
+from .test_lost_answers import innermost
+
+LEASE, CANCEL = 16.0, 46.0
+
+
+@pytest.fixture(autouse=True)
+def long_enough(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(world, "LEASE", LEASE)
+    monkeypatch.setattr(world, "CANCEL", CANCEL)
+
+
+class Tokens:
+    """What each worker takes: whose answers, in which order. A worker never goes on with a lower one; epochs are claimed ones."""
+
+    def __init__(self, p: Played) -> None:
+        self.p, self.seen, self.broken = p, dict[str, int](), list[str]()
+
+    async def watch(self) -> None:
+        while True:
+            await anyio.sleep(0.05)
+            claimed = {e.version for e in self.p.state.store.log if e.key.startswith("p/shard/") and e.value is not None}
+            for w in self.p.workers.values():
+                if w.token < self.seen.get(w.name, 0):
+                    self.p.broken.append(f"{w.name} went back to a lower token")
+                if w.token and w.token >> 20 not in claimed:
+                    self.p.broken.append(f"{w.name} bears a token of an epoch that nobody has claimed")
+                self.seen[w.name] = w.token
+
+
+async def settled(p: Played, within: float = 30.0) -> None:
+    """Every part is held once, by its home in the end, and every worker is answered by the holder of its part."""
+    with anyio.move_on_after(within):
+        while True:
+            held = {s: n for n, node in p.nodes.items() if n not in p.down for s in node.shared.held}
+            epochs = {s: p.nodes[n].shared.held[s].epoch for s, n in held.items()}
+            layout = p.nodes["c0"].shared.layout
+            late = [w.name for w in p.workers.values() if w.token >> 20 != epochs.get(layout.part(w.zone, w.name), -1)]
+            if sorted(held) == [0, 1, 2] and not late:
+                return
+            await anyio.sleep(0.1)
+    p.broken.append(f"after {within} s: parts {sorted(held)}, answered by others: {late}")
+
+
+async def ten(p: Played, rng: Random) -> None:
+    """Ten ends within two minutes, each back within a second or after its part was taken."""
+    for _ in range(10):
+        name = rng.choice([n for n in p.names if n not in p.down])
+        p.tasks.start_soon(p.crash, name, rng.choice([0.1, 0.4, 1.0, 5.0, 9.0]))
+        await anyio.sleep(rng.uniform(6.0, 12.0))
+
+
+async def ten_inside(p: Played, rng: Random) -> None:
+    """Half of them inside an outage of a minute."""
+    p.tasks.start_soon(p.outage, 60.0)
+    await ten(p, rng)
+
+
+async def over_and_back(p: Played, rng: Random) -> None:
+    """Each ends until another has its part, comes home, and ends again as soon as it has it back."""
+    for name in ("c0", "c1", "c0"):
+        await p.crash(name, 6.0)
+        with anyio.move_on_after(40.0):
+            while p.nodes[name].shared.me not in p.nodes[name].shared.held:
+                await anyio.sleep(0.05)
+
+
+async def one_returns(p: Played, rng: Random) -> None:
+    """All end within a second; one is back at once, the others after the parts were taken."""
+    for name, s in zip(rng.sample(p.names, 3), (0.3, 12.0, 25.0), strict=True):
+        p.tasks.start_soon(p.crash, name, s)
+        await anyio.sleep(0.3)
+    await anyio.sleep(40.0)
+
+
+async def all_away(p: Played, rng: Random) -> None:
+    """All are away for longer than a lease: nothing that ran is there any more, and the next lives find it in the cells."""
+    for name in p.names:
+        p.tasks.start_soon(p.crash, name, LEASE + 3.0 + rng.random())
+    await anyio.sleep(LEASE + 20.0)
+
+
+async def all_within(p: Played, rng: Random) -> None:
+    """All are away for a second, three times, every few seconds."""
+    for _ in range(3):
+        for name in p.names:
+            p.tasks.start_soon(p.crash, name, rng.choice([0.1, 0.5, 0.9]))
+        await anyio.sleep(rng.uniform(1.5, 4.0))
+
+
+async def all_inside(p: Played, rng: Random) -> None:
+    """The same inside an outage that lasts for longer than a lease."""
+    p.tasks.start_soon(p.outage, LEASE + 6.0)
+    await anyio.sleep(3.0)
+    await all_within(p, rng)
+    await anyio.sleep(LEASE + 8.0)
+
+
+COURSES: dict[str, Callable[[Played, Random], Any]] = {
+    "ten": ten, "ten inside an outage": ten_inside, "over and back": over_and_back, "one returns": one_returns, "all away": all_away,
+    "all within a second": all_within, "all inside an outage": all_inside,
+}  # fmt: skip
+NO_LOSS = {"over and back", "one returns", "all within a second", "all inside an outage"}
+CLAIMS = {"ten": 10, "ten inside an outage": 6, "over and back": 5, "one returns": 3, "all away": 3, "all within a second": 6,
+          "all inside an outage": 3}  # fmt: skip
+
+
+def reads_no_cells() -> Any:
+    """Without: a new source does not know the starts that may be somewhere."""
+    return Ledger, "install_cell", lambda self, team, found, now: None
+
+
+def answers_nobody() -> Any:
+    """Without: a new life does not answer the workers of its earlier one before it holds their part again."""
+    return Rights, "answer", lambda self, r, me, newest, over, wall: None
+
+
+@pytest.mark.parametrize(("course", "without", "breaks"), [
+    *((course, None, "") for course in COURSES),
+    *((course, reads_no_cells, "was lost|does not run") for course in ("ten", "over and back", "one returns", "all away")),
+    ("all inside an outage", answers_nobody, "was lost"),
+])  # fmt: skip
+def test_leaders_change(course: str, without: Any, breaks: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Who answers which worker, what each life concludes, and what the workers go on with."""
+    if without is not None:
+        monkeypatch.setattr(*without())
+
+    async def scene(p: Played) -> None:
+        rng = Random(course)
+        tokens = Tokens(p)
+        p.tasks.start_soon(tokens.watch)
+        await busy(p, 30.0)
+        for i in range(8):
+            p.tasks.start_soon(p.submit, p.spec(910 + i, gait="array", chicks=2, flightS=400.0))
+        p.tasks.start_soon(p.submit, p.spec(920, gait="group", flightS=400.0))
+        await anyio.sleep(6.0)
+        ran = {k for w in p.workers.values() for k in w.on_machine()}
+        p.tasks.start_soon(p.flow, 60.0, 3.0, 200)
+        await COURSES[course](p, rng)
+        await settled(p)
+        assert p.claims() >= CLAIMS[course], p.claims()
+        if course in NO_LOSS:
+            stay = {k for k in ran if k[0] >= "j-000900"}
+            p.broken += [f"{k} was lost" for k in stay - {k for w in p.workers.values() for k in w.on_machine()}]
+        p.broken += [f"not answered: {j}" for j in await p.all_answered(20.0)]
+        await anyio.sleep(30.0)
+        up = {k[0] for w in p.workers.values() for k in w.on_machine()}
+        p.broken += [f"{j} does not run" for j in ("j-000900", "j-000901", "j-000902") if j not in up]
+
+    judged(scene, without, breaks)
+
+
+def judged(scene: Any, without: Any, breaks: str) -> None:
+    """With the guard every rule holds; without it the scene breaks in the way that the guard is there for."""
+    if without is None:
+        play(scene)
+    else:
+        with pytest.raises((AssertionError, BaseExceptionGroup)) as e:
+            play(scene)
+        assert re.search(breaks, innermost(e.value)), innermost(e.value)
+
+
+# -- cancelled in the seconds in which one controller's work changes hands ---------------------------------------------------------------
+
+
+async def ends(p: Played) -> None:
+    """No source for a while: it ends, and its part is taken when its lease is over."""
+    p.tasks.start_soon(p.crash, "c0", 9.0)
+
+
+async def stands_still(p: Played) -> None:
+    """Two sources: it stands still, its part is taken, and then it goes on and believes for a moment that it has it."""
+    for other in ("state", "cloud", "user", "c1", "c2", *p.workers):
+        p.net.cut("c0", other, HOLD, 9.0)
+
+
+async def all_end(p: Played) -> None:
+    """No source at all: everybody ends, and the part's own controller comes last."""
+    for name, s in (("c1", 2.0), ("c2", 2.5), ("c0", 9.0)):
+        p.tasks.start_soon(p.crash, name, s)
+
+
+async def out_of_touch(p: Played) -> None:
+    """The new source is out of touch with a part's owner: who holds the team's shard and who holds the machines do not hear one another."""
+    for a, b in (("c0", "c1"), ("c1", "c2"), ("c0", "c2")):
+        p.net.cut(a, b, RESET, 2.0 * CANCEL)
+    await ends(p)
+
+
+def owners_know_nothing() -> Any:
+    """Without: an owner stops what is over only when its source says so."""
+    real = Roles.take
+
+    def take(self: Roles, shard: int, epoch: int) -> None:
+        real(self, shard, epoch)
+        owner = self.shared.held[shard].owner
+        owner.job_over, owner.job_ended = (lambda jid: False), (lambda jid: None)  # type: ignore[method-assign]
+
+    return Roles, "take", take
+
+
+@pytest.mark.parametrize(("how", "step", "without"), [
+    (ends, "claim sent", None), (ends, "cells read", None), (ends, "source ready", None),
+    (stands_still, "claim landed", None), (stands_still, "source ready", None),
+    (all_end, "claim sent", None), (all_end, "cells read", None),
+    (out_of_touch, "claim landed", None), (out_of_touch, "source ready", None), (out_of_touch, "claim landed", owners_know_nothing),
+])  # fmt: skip
+def test_cancelled_while_work_changes_hands(how: Any, step: str, without: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """At a step of the claim users cancel half of what runs, of every team, wherever its tasks and its source are.
+
+    What is told is gone in time and starts nowhere; the other half runs on.
+    """
+    if without is not None:
+        monkeypatch.setattr(*without())
+
+    async def scene(p: Played) -> None:
+        for n in range(900, 916):
+            p.tasks.start_soon(p.submit, p.spec(n, gait="daemon", chicks=2))
+        await anyio.sleep(12.0)
+        assert len({k[:2] for w in p.workers.values() for k in w.on_machine()}) == 32
+        hook = Hook(p, step)
+        await how(p)
+        with anyio.fail_after(40.0):
+            if step == "source ready":
+                while not any(n != "c0" and 0 in node.shared.held and node.shared.held[0].source for n, node in p.nodes.items()):
+                    await anyio.sleep(0.002)
+            else:
+                await hook.reached.wait()
+        for n in range(900, 908):
+            p.tasks.start_soon(p.withdraw, f"j-{n:06d}")
+        p.tasks.start_soon(p.flow, 20.0, 0.5, 1)
+        await anyio.sleep(1.2)
+        hook.go_on.set()
+        await anyio.sleep(2.0 * CANCEL)
+        p.broken += [f"not told: {n}" for n in range(900, 908) if f"j-{n:06d}" not in p.cancelled]
+        await anyio.sleep(CANCEL)
+        up = {k[0] for w in p.workers.values() for k in w.on_machine()}
+        p.broken += [f"{n} does not run" for n in range(908, 916) if f"j-{n:06d}" not in up]
+
+    judged(scene, without, "ran_cancelled")
