What can't run is refused, in one line of the log; two users at once; judges of what is accepted and of the largest

Found: a gang that may have half of its tasks in a zone and has only one (its own, its types', together) was accepted and could never start: refused now by 422 'a task fits no allowed machine type'. An array like it runs task after task, a service with half its replicas: both stay accepted. Refusals left no line: one each now, without anything that was sent but a well-formed id. A controller that had held a shard for a while showed the numbers of then for its jobs: it reads what is said to shards that it holds (untouched: done 0 for done 1; now the same from all three). Judges (tests/played.py): accepted though it can't run or lacks a field; of each class's accepted largest (a tenth, three at least, as scripts.served) half served and each begun within 240 s. Each seen to fail (rows). Tests: two users submit, ask and cancel each job, with none, 15% and 40% of the state service's answers refused; two jobs under one id; 300 questions share fewer than 30 reads.

--- a/ploverhall/control/routing.py
+++ b/ploverhall/control/routing.py
@@ -98,7 +98,7 @@
         held = self.shared.held.get(shard)
         if held is not None and held.source is not None:
             return held.source.progress(job.id)
-        for dst in range(len(self.shared.layout.nodes)):
+        for dst in self.shared.held:  # what was said to a shard that is not held here any more is as old as that
             counts = self.shared.inbox.boards.get(("c", shard, dst))
             if counts is not None and job.id in counts[1]:
                 done, running = counts[1][job.id]
--- a/ploverhall/control/users.py
+++ b/ploverhall/control/users.py
@@ -32,6 +32,12 @@
     return Reply(503, {"error": answer.why}, 1.0) if isinstance(answer, NotNow) else Reply(404, {"error": "no such job"})
 
 
+def _refused(status: int, why: str, **known: str) -> Reply:
+    """A submission that is not retried. Nothing of what was sent is shown or told, but an id that is well formed."""
+    log.info("refused", status=status, **known, why=why)
+    return Reply(status, {"error": why})
+
+
 class Users:
     """What users ask."""
 
@@ -46,11 +52,13 @@
         if team is None:
             return "unknown team"
         types = self.shared.types or {}
-        if not any(
-            fits(job.vec, t.vec) and (job.types is None or t.name in job.types) and (job.zone is None or job.zone in t.zones)
-            for t in types.values()
-        ):
+        allowed = [t for t in types.values() if fits(job.vec, t.vec) and (job.types is None or t.name in job.types)]
+        zones = {z for t in allowed for z in t.zones if job.zone in (None, z)}
+        if not zones:
             return "no machine type fits a task"
+        if job.kind == "gang" and job.n > job.zone_cap * (1 if job.one_zone else len(zones)):
+            # of an array the others run after these, of a service half the replicas do
+            return "no machine type fits a task in a zone that the gang's other tasks leave to it"
         n = 1 if job.kind == "array" else job.n
         if (team.cpus_max > 0 and n * job.cpus > team.cpus_max + 1e-6) or (team.gpus_max > 0 and n * job.gpus > team.gpus_max + 1e-6):
             return "more than the team's limit"
@@ -61,7 +69,7 @@
         try:
             job = jobs.parse(orjson.loads(body), self.shared.wall())
         except (orjson.JSONDecodeError, jobs.Malformed) as e:
-            return Reply(400, {"error": str(e)})
+            return _refused(400, str(e))
         if (end := self.answers.final(job.id)) is not None:
             return _reply(end)
         if not self.shared.replica.ready or self.shared.types is None:
@@ -71,10 +79,10 @@
         if (why := self.why_never(job)) is not None:
             # what was accepted once stays accepted, whatever the cloud sells by now
             known = await self.known(job.id)
-            return Reply(422, {"error": why}) if isinstance(known, NeverAccepted) else _reply(known)
+            return _refused(422, why, job=job.id) if isinstance(known, NeverAccepted) else _reply(known)
         record = job.record()
         if len(orjson.dumps(record)) > self.shared.settings.value_bytes - 64:
-            return Reply(400, {"error": "description too long to be kept"})
+            return _refused(400, "description too long to be kept", job=job.id)
         writes, team = self.shared.store.writes, self.shared.teams[job.team]
         guest = team.cpus <= 0 and team.gpus <= 0
         wait = writes.wait(1) + self.storing / writes.rate
--- a/tests/played.py
+++ b/tests/played.py
@@ -717,6 +717,8 @@
                     shares.setdefault(getattr(spec, group), []).append(self.served(jid))
             for name, served in shares.items():
                 assert 2 * sum(served) >= len(served), f"{group} {name}: {sum(served)} of {len(served)} served"
+        self.check_accepted()
+        self.check_largest()
 
     def served(self, jid: str) -> bool:
         """Whether a job is complete; of a service, whether all replicas were started."""
@@ -724,6 +726,71 @@
         done = self.fleet.first_starts if spec.kind == "service" else self.fleet.results
         return all((jid, i) in done for i in range(spec.n))
 
+    # -- judges of what is accepted, and of the largest ------------------------------------------
+
+    def never(self, body: dict[str, Any]) -> str | None:
+        """Why a submission must not be accepted, by the protocol's lines on 400 and 422; None if it may be."""
+        missing = sorted(FIELDS - body.keys())
+        if missing:
+            return f"lacks {missing[0]}"
+        team, kind = self.teams.get(body["keeper"]), world.TYPE
+        zones = {z for z in kind.zones if body.get("marsh") in (None, z)}
+        if team is None:
+            return "unknown team"
+        if any(body[k] > have for k, have in zip(("cores", "gpus", "ramGb"), kind.vec, strict=True)) or not zones:
+            return "fits no machine"
+        if body.get("breeds") is not None and kind.name not in body["breeds"]:
+            return "fits no allowed type"
+        if body["gpus"] * (1 if body["gait"] == "array" else body["chicks"]) > team.gpus_max:
+            return "more than the team's limit"
+        apart = body["gait"] == "group" and body["scatter"] and body["chicks"] > 1
+        return "a gang that no zones can hold" if apart and (body["together"] or len(zones) < 2) else None
+
+    async def try_odd(self, body: dict[str, Any], name: str) -> int:
+        """A user submits what must not be accepted; the status."""
+        try:
+            status, answer = await self.users[name].call("POST", "/api/jobs", body, 5.0)
+        except Unreachable:
+            return 0
+        if status in (200, 201):
+            self.broken.append(f"accepted though it {self.never(body) or 'is odd'}: {body} by {name} at {self.now}: {answer}")
+        return status
+
+    def check_accepted(self) -> None:
+        """Nothing was accepted that lacks a field or can't run."""
+        odd = [(j, why) for j, a in self.asked.items() if a.accepted is not None and (why := self.never(self.bodies[j])) is not None]
+        assert not odd, f"accepted though it can't run: {odd[:3]}"
+
+    def began(self, jid: str) -> float | None:
+        """When a job first had a task on a machine, a gang all of them; None: it has not begun."""
+        spec, at = self.specs[jid], self.fleet.first_at
+        times = [at[jid, i] for i in range(spec.n) if (jid, i) in at]
+        return None if len(times) < (spec.n if spec.kind == "gang" else 1) else (max if spec.kind == "gang" else min)(times)
+
+    def check_largest(self) -> None:
+        """Of each class's accepted jobs the tenth with the most tasks, three at least: half of them served, each begun within 240 s.
+
+        As scripts.served counts them; users who gave up in an outage before they were accepted are counted with their class and team.
+        """
+        classes: dict[str, list[str]] = {}
+        for jid, spec in self.specs.items():
+            if jid not in self.cancelled and self.asked[jid].accepted is not None:
+                classes.setdefault(spec.klass, []).append(jid)
+        for name, found in classes.items():
+            ranked = sorted(found, key=lambda j: (-self.specs[j].n, self.asked[j].at))[: max(3, -(-len(found) // 10))]
+            asked = [j for j in ranked if self.now - self.asked[j].at > FINISHED_S]
+            served = sum(self.served(j) for j in asked)
+            assert 2 * served >= len(asked), f"largest of {name}: {served} of {len(asked)} served"
+            for jid in ranked:
+                at, began = self.asked[jid].accepted, self.began(jid)
+                late = at is not None and (self.now if began is None else began) - at > LARGEST_BEGIN_S
+                assert not late, f"largest of {name}: {jid} accepted at {at} began at {began}"
+
+
+FIELDS = frozenset(("id", "flock", "keeper", "gait", "rank", "chicks", "cores", "gpus", "ramGb", "plumage", "pullGb", "together", "scatter",
+                    "driftwood", "flightS", "nestS", "tuckS"))  # fmt: skip
+LARGEST_BEGIN_S = 240.0
+
 
 def play(scene: Callable[[Played], Awaitable[None]], seed: int = 1, **kw: Any) -> Played:
     """Run a scene in virtual time; the rules are judged all along."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -123,6 +123,7 @@
         self.started_at: list[float] = []
         self.started_on: list[tuple[float, str]] = []  # and on which machine
         self.first_starts: set[tuple[str, int]] = set()
+        self.first_at: dict[tuple[str, int], float] = {}  # when each task first was on a machine
         self.begun: Counter[tuple[str, int]] = Counter()  # how often each task was started
         self.longer: dict[tuple[str, int], float] = {}  # by how much some tasks run longer than others of their job
         self.killed_by_lease = 0
@@ -154,6 +155,7 @@
         self.started_on.append((self.now, w.name))
         self.first_starts.add(key[:2])
         self.begun[key[:2]] += 1
+        self.first_at.setdefault(key[:2], self.now)
         self.starts_of.append((self.now, key, w.name))
         try:
             world.World.started(self, w, key)  # type: ignore[arg-type]
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -16,15 +16,21 @@
 import pytest
 
 from ploverhall import settings
-from ploverhall.bookkeeping.replica import JOB, SHARD, Replica, end_record
+from ploverhall.bookkeeping.replica import JOB, PREFIX, SHARD, Replica, end_record
+from ploverhall.control import users
+from ploverhall.control.following import Following
+from ploverhall.control.users import Users
 from ploverhall.control.writing import Writing
+from ploverhall.coordination.answers import Answers, Proof
 from ploverhall.coordination.ledger import Ledger
+from ploverhall.protocol import jobs
 from ploverhall.protocol.state import Event, Store
 from ploverhall.transport.http import Reply
 
 from . import world
 from .meetings import KNOWN_S
-from .played import RESET, SLOW, Network, Played, play
+from .played import RESET, SLOW, Asked, Network, Played, play
+from .standins import State
 
 JOB_ID = re.compile(r"j-\d{1,18}")
 
@@ -181,6 +187,9 @@
     # 422: "a task fits no allowed machine type" (t: 16 cores, 4 GPUs, 128 GB, in zones a and b)
     (422, {"cores": 17.0}), (422, {"gpus": 4.5}), (422, {"ramGb": 129.0}), (422, {"cores": 1e11}), (422, {"breeds": []}),
     (422, {"breeds": ["g8"]}), (422, {"marsh": "z"}), (422, {"marsh": ""}), (422, {"breeds": ["t"], "marsh": "c"}),
+    # the same: a gang's tasks beyond the half that one zone may hold (of an array, they run later; of a service, half the replicas run)
+    *((422, {"gait": "group", "chicks": n, "scatter": True, **more})
+      for n in (2, 3, 9) for more in ({"marsh": "a"}, {"together": True}, {"marsh": "b", "breeds": ["t"], "together": True})),
     # 422: "the job needs more than the team's limit (array: one task; gang and service: all tasks)" (16 GPUs)
     (422, {"gait": "group", "chicks": 17}), (422, {"gait": "daemon", "chicks": 100_000}),
     (422, {"gait": "group", "chicks": 5, "gpus": 4.0}),
@@ -202,12 +211,13 @@
         await p.submit(p.spec(1, gait="array", chicks=1))
         await anyio.sleep(12.0)
         keys = {k for k in p.state.store.kv if k.startswith(("p/job/", "e/"))}
-        lines = len(capsys.readouterr().err.splitlines())
+        capsys.readouterr()
         for i, (status, changes) in enumerate(REFUSED):
             spec, name = odd_spec(p, changes), p.names[i % 3]
             got, answer = await p.users[name].call("POST", "/api/jobs", spec, 5.0)
             assert got == status and isinstance(answer, dict) and answer["error"], (changes, got, answer)
             assert len(str(answer)) < 200, "bounded, whatever was sent"
+            assert status == 400 or p.never(spec) is not None, "the plain judge has it from the protocol, too"
         for body in RAW:
             got, answer = await raw(p, "c0", "POST", "/api/jobs", body)
             assert got == 400 and isinstance(answer, dict) and answer["error"], (body[:20], got, answer)
@@ -219,10 +229,48 @@
         assert {k for k in p.state.store.kv if k.startswith(("p/job/", "e/"))} == keys, "nothing is kept in the store"
         for node in p.nodes.values():
             assert not [n for n, ids in held_ids(node).items() if ODD in ids], "nor in memory"
-        said.extend(capsys.readouterr().err.splitlines()[lines:])
+        said.extend(capsys.readouterr().err.splitlines())
 
     play(scene)
-    assert not [x for x in said if len(x) > 300 or x.startswith("error")]
+    refused = [x for x in said if x.startswith("info refused status=4")]
+    assert len(refused) == len(REFUSED) + len(RAW) and max(map(len, refused)) < 200, "one bounded line each"
+    assert not [x for x in said if x not in refused and ("forged" in x or ODD in x or x.startswith("error"))], "and no other"
+    assert not [x for x in refused if "forged" in x or "team-" in x or "xxx" in x], "with nothing that was sent but an id"
+
+
+@pytest.mark.parametrize("odd", [{"scatter": True, "marsh": "a"}, {"cores": 17.0}, {"nestS": ...}])
+def test_the_judge_notices_what_is_accepted_though_it_cant_run(odd: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Users, "why_never", lambda self, job: None)
+    monkeypatch.setattr(users.jobs, "parse", lambda d, at: real_parse({"nestS": 0.0, **d}, at))
+
+    async def scene(p: Played) -> None:
+        await p.try_odd(odd_spec(p, {"gait": "group", **odd}), "c0")
+
+    with pytest.raises(AssertionError, match="accepted though"):
+        play(scene)
+
+
+def test_the_judge_notices_largest_jobs_that_are_not_served_or_begin_late() -> None:
+    """Thirty small gangs are served; of the four largest three can't be (their team's limit is used up), or begin after 240 s."""
+    for hours, says in ((False, "largest of group: 1 of 4 served"), (True, "began at")):
+
+        async def scene(p: Played, hours: bool = hours) -> None:
+            await p.submit(p.spec(900, gait="daemon", chicks=12, keeper="team-3", flock="service"))
+            await anyio.sleep(5.0)
+            for n in range(30):
+                p.tasks.start_soon(p.submit, p.spec(n, gait="group", flightS=1.0, keeper=f"team-{n % 4}"))
+            for n in range(4):
+                p.tasks.start_soon(p.submit, p.spec(800 + n, gait="group", chicks=6, flightS=1.0, keeper="team-3" if n else "team-0"))
+            await anyio.sleep(250.0 if hours else 50.0)
+            if hours:
+                await p.withdraw("j-000900")
+                await anyio.sleep(50.0)
+
+        with pytest.raises(AssertionError, match=says):
+            play(scene)
+
+
+real_parse = jobs.parse
 
 
 async def raw(p: Played, name: str, method: str, path: str, body: bytes) -> tuple[int, Any]:
@@ -609,3 +657,194 @@
     monkeypatch.setattr(Replica, name, without)
     with pytest.raises(AssertionError):
         run_copy(range(400))
+
+
+# -- two users at once; the state service refuses some requests on the way; a read shared by many -----------------------------------
+
+
+def refusing(p: Played, rng: Random, share: float) -> Counter[int]:
+    """So large a share of all requests is refused by the state service, by its limits or without a reason; how many of each."""
+    real, refused = p.state.handle, Counter[int]()
+
+    async def handle(q: Any) -> Reply:
+        if rng.random() < share and not q.path.startswith("/grants"):
+            refused[status := rng.choice([429, 503])] += 1
+            return Reply(status, {"error": "busy"})
+        return await real(q)
+
+    p.state.handle = handle  # type: ignore[method-assign]
+    return refused
+
+
+def two_users(seed: int, share: float) -> None:
+    """Each job is submitted by two at once, again and again while it is not over, cancelled by two at once or when it is done."""
+    accepted: Counter[str] = Counter()
+    read: list[float] = []
+
+    async def user(p: Played, spec: dict[str, Any], name: str, other: str) -> None:
+        jid, rng = spec["id"], Random(f"{seed} {spec['id']} {name}")
+        status = 0
+        for _ in range(30):
+            status = await p.call(name, "POST", "/api/jobs", jid, spec)
+            accepted[jid] += status == 201
+            if status in (200, 201):
+                break
+            await anyio.sleep(1.0)
+        assert status in (200, 201), f"forgotten: {jid} is not accepted in 30 s: {status}"
+        for _ in range(rng.randrange(1, 6)):
+            await anyio.sleep(rng.choice([0.0, 0.01, 0.5]))
+            await p.resubmit(jid, other)
+            await p.ask(jid, name)
+        if int(jid[2:]) % 3 == 0:
+            await p.withdraw(jid)
+            await p.resubmit(jid, other)
+        elif int(jid[2:]) % 3 == 1:
+            while p.told.get(jid) is None:
+                await anyio.sleep(0.5)
+                await p.ask(jid, name)
+            await p.withdraw(jid, other)  # it is done already
+            assert p.told[jid] == DONE
+
+    async def scene(p: Played) -> None:
+        rng = Random(seed)
+        refused = refusing(p, rng, share)
+        for n in range(1, 31):
+            spec = p.spec(n, gait=rng.choice(["array", "group"]), chicks=2, flightS=rng.choice([1.0, 4.0]))
+            jid = spec["id"]
+            p.asked[jid], p.bodies[jid], p.fleet.specs[jid] = Asked(p.now), spec, jobs.parse(spec, 0.0)
+            a, b = rng.sample(p.names, 2) if n % 4 else [rng.choice(p.names)] * 2
+            p.tasks.start_soon(user, p, spec, a, b)
+            p.tasks.start_soon(user, p, spec, b, a)
+            await anyio.sleep(rng.choice([0.0, 0.1, 0.6]))
+        await anyio.sleep(30.0)
+        if not share:
+            await burst(p, rng)
+        p.state.handle = State.handle.__get__(p.state)  # type: ignore[method-assign]
+        await anyio.sleep(5.0)
+        assert not share or min(refused[429], refused[503]) > 10
+        p.missing = await p.all_answered(KNOWN_S)  # type: ignore[attr-defined]
+
+    async def burst(p: Played, rng: Random) -> None:
+        """Hundreds ask one controller at once, of jobs that run: one read answers those that came before it began."""
+        for n in range(100, 110):
+            await p.submit(p.spec(n, gait="daemon", chicks=1))
+        await anyio.sleep(5.0)
+        real = p.state.handle
+
+        async def handle(q: Any) -> Reply:
+            if q.path == "/watch" and q.query.get("holdMs") == "0":
+                read.append(p.now)
+            return await real(q)
+
+        p.state.handle = handle  # type: ignore[method-assign]
+        for _ in range(300):
+            p.tasks.start_soon(p.ask, f"j-{rng.randrange(100, 110):06d}", "c0")
+        await anyio.sleep(1.0)
+        assert len(read) < 30, "a read for each would be too many"
+
+    p = play(scene, seed)
+    assert p.missing == []  # type: ignore[attr-defined]
+    assert set(accepted) >= set(f"j-{n:06d}" for n in range(1, 31)) and max(accepted.values()) == 1, "accepted once, by one of the two"
+    for n in range(1, 31):
+        jid = f"j-{n:06d}"
+        assert p.told[jid] == DONE if n % 3 else p.told[jid] in (DONE, OFF), jid
+
+
+@pytest.mark.parametrize(("seed", "share"), [(1, 0.0), (2, 0.15), (3, 0.4)])
+def test_two_users_at_once_and_a_state_service_that_refuses_some(seed: int, share: float) -> None:
+    two_users(seed, share)
+
+
+def any_submission(real: Any) -> Any:
+    """A submission lands whatever is known of its job."""
+
+    async def txn(self: Store, guards: dict[str, int], puts: dict[str, Any], *a: Any, **kw: Any) -> Any:
+        new = {k for k, v in puts.items() if k.startswith(JOB) and isinstance(v, list)}
+        return await real(self, {k: v for k, v in guards.items() if not new or k in puts.keys() - new}, puts, *a, **kw)
+
+    return txn
+
+
+def each_by_itself(real: Any) -> Any:
+    async def proof(self: Following) -> Proof:
+        begun = self.shared.clock()
+        answer = await self.shared.store.watch(PREFIX, self.shared.replica.rev, 0)
+        assert answer is not None
+        self._took(begun, *answer)
+        return Proof(begun)
+
+    return proof
+
+
+@pytest.mark.parametrize(("where", "name", "without", "share", "says"), [
+    # a job that is submitted once more, as another one, ends the steps of its team's source
+    (Store, "txn", any_submission, 0.0, "accepted once|not in list"),
+    (Answers, "final", lambda real: lambda self, jid: None, 0.15, "forgotten|went_back"),
+    (Following, "proof", each_by_itself, 0.0, "a read for each"),
+])  # fmt: skip
+def test_two_users_find_what_a_guard_is_there_for(
+    where: type, name: str, without: Any, share: float, says: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(where, name, without(getattr(where, name)))
+    with pytest.raises((AssertionError, ValueError), match=says):
+        try:
+            two_users(1, share)
+        except BaseExceptionGroup as e:
+            raise first(e) from e
+
+
+def first(e: BaseException) -> BaseException:
+    while isinstance(e, BaseExceptionGroup):
+        e = e.exceptions[0]
+    return e
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_users_with_one_id_and_two_jobs(seed: int) -> None:
+    """One job is accepted, whole, and both are told of it; nothing of the other one is ever started."""
+
+    async def scene(p: Played) -> None:
+        for n in range(1, 13):
+            rng = Random(f"{seed} {n}")
+            specs = [p.spec(n, gait="array", chicks=k, keeper=f"team-{(n + k) % 4}") for k in (1, 3)]
+            jid, got = specs[0]["id"], dict[int, int]()
+
+            async def one(i: int, spec: dict[str, Any], name: str, got: dict[int, int]) -> None:
+                got[i], _ = await p.users[name].call("POST", "/api/jobs", spec, 5.0)
+
+            async with anyio.create_task_group() as tg:
+                for i, name in enumerate(rng.sample(p.names, 2) if n % 3 else [rng.choice(p.names)] * 2):
+                    tg.start_soon(one, i, specs[i], name, got)
+                while f"p/job/{jid}" not in p.state.store.kv:
+                    await anyio.sleep(0.0002)
+                job = jobs.from_record(p.state.store.kv[f"p/job/{jid}"][0])
+                p.fleet.specs[jid] = job
+            assert sorted(got.values()) == [200, 201]
+            won = next(i for i in got if got[i] == 201)
+            assert (job.n, job.team) == (specs[won]["chicks"], specs[won]["keeper"])
+            p.asked[jid], p.bodies[jid] = Asked(p.now, accepted=p.now), specs[won]
+        await anyio.sleep(25.0)
+        assert not await p.all_answered(KNOWN_S) and set(p.told.values()) == {DONE}
+        assert {k[0]: 0 for k in p.fleet.begun if k[1] >= p.specs[k[0]].n} == {}
+
+    play(scene, seed)
+
+
+def test_a_controller_that_held_a_shard_for_a_while_shows_its_jobs_as_they_are() -> None:
+    """It kept what it had last been told there, and showed the numbers of then for as long as the job lived."""
+
+    async def scene(p: Played) -> None:
+        n = next(n for n in range(900, 930) if p.nodes["c0"].shared.layout.team_shard[f"team-{n % 4}"] == 0)
+        jid = f"j-{n:06d}"
+        p.fleet.longer.update({(jid, 0): 50.0, (jid, 1): 80.0})
+        await p.submit(p.spec(n, gait="array", chicks=2, flightS=1.0))
+        await anyio.sleep(6.0)
+        await p.crash("c0", 7.0)
+        while (jid, 0) not in p.fleet.results or p.nodes["c0"].shared.held.keys() != {0}:
+            await anyio.sleep(0.5)
+        await anyio.sleep(3.0)
+        shown = [(await p.users[name].call("GET", f"/api/jobs/{jid}", None, 2.0))[1] for name in p.names]
+        assert shown == [{"id": jid, "stance": "running", "done": 1, "running": 1}] * 3
+        await anyio.sleep(40.0)
+
+    play(scene)
