--- a/scripts/further.py
+++ b/scripts/further.py
@@ -303,7 +303,7 @@
                 team.update(gpus=0.5 * team["gpus"], gpus_max=0.5 * team["gpus_max"])
             return "teams at half their limits", day
         case 2:
-            array["zone"] = rng.choice(site["capacity"])["zone"]
+            array.update(pinned=1.0, pinned_zones={rng.choice(site["capacity"])["zone"]: 1.0})
             return "arrays bound to a zone", day
         case 3:
             for t in site["machine_types"]:
