--- a/scripts/cost.py
+++ b/scripts/cost.py
@@ -11,6 +11,9 @@
 - permit: a task from waiting to its exit, source and owner together, no I/O; the fleet is two thirds full of work that a
   part of the waiting tasks may stop
 - crowd: the same on a full fleet, behind jobs that wait and find no way
+- poll, resubmission: a user asks for a job that waits, or submits it again, over loopback, with so many ended jobs known: a whole
+  controller, its read of the state service included, less what it does when nobody asks. State service, cloud and user are
+  stand-ins (tests/standins.py of this tree) in a process of their own
 """
 
 from __future__ import annotations
@@ -247,7 +250,130 @@
     return p.spent / max(1, p.permits) * 1e6
 
 
-PARTS = {"request": request_cost, "report": report_cost, "permit": permit_cost, "crowd": crowd_cost}
+ASKED, AT_ONCE = 6000, 40  # questions of a round; a read of the state service is shared by those that wait for it
+
+
+def users_cost(size: int, verb: str) -> float:
+    """One question of a user's and its answer, microseconds of the controller's processor time."""
+    import anyio
+    import anyio.to_thread
+
+    from ploverhall import settings
+    from ploverhall.control.node import Node
+    from ploverhall.seams import Seams
+
+    with socket.socket() as a, socket.socket() as b, socket.socket() as c, socket.socket() as d:
+        held = (a, b, c, d)
+        for s in held:
+            s.bind(("127.0.0.1", 0))
+        ports = [s.getsockname()[1] for s in held]
+    node = Node(settings.parse({
+        "host_name": "c0", "site": "a", "bind": f"127.0.0.1:{ports[0]}", "peer_listen": f"127.0.0.1:{ports[1]}", "siblings": [],
+        "external": {"state": f"127.0.0.1:{ports[2]}", "cloud": f"127.0.0.1:{ports[3]}"},
+        "deployment": {
+            "zones": ["a"], "teams": [{"name": "t", "cpus": 0, "cpus_max": 0, "gpus": 8, "gpus_max": 8}],
+            "workers": {"report_s": 2.0, "lease_s": 13.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 38.0},
+            "state": {"rps": 1e6, "write_rps": 1e6, "value_kb": 16.0, "txn_ops": 48}, "cloud": {"rps": 10.0, "list_lag_s": 3.0},
+            "limits": {"core_share": 1.0, "mem_mb": 400.0, "max_sockets": 500},
+        },
+    }), Seams())  # fmt: skip
+    out = 0.0
+
+    async def play(others: subprocess.Popen[bytes]) -> None:
+        nonlocal out
+        assert others.stdout is not None
+        marks = []
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(node.run)
+            for _ in range(3):  # the stand-ins say when a stretch begins and ends: idle, asked
+                line = await anyio.to_thread.run_sync(others.stdout.readline)
+                assert line, "the stand-ins have ended"
+                marks.append((time.process_time(), time.monotonic()))
+            tg.cancel_scope.cancel()
+        (cpu0, at0), (cpu1, at1), (cpu2, at2) = marks
+        out = (cpu2 - cpu1 - (cpu1 - cpu0) / (at1 - at0) * (at2 - at1)) / ASKED * 1e6
+
+    args = [sys.executable, "-m", "scripts.cost", "--beside", verb, str(size), *map(str, ports)]
+    env = {**os.environ, "PYTHONPATH": str(ROOT)}
+    with subprocess.Popen(args, cwd=ROOT, env=env, stdout=subprocess.PIPE) as others:
+        try:
+            anyio.run(play, others, backend_options={"use_uvloop": True})
+        finally:
+            others.kill()
+    return out
+
+
+def beside(verb: str, size: int, ports: list[int]) -> None:
+    """State service, cloud and one user, for `users_cost`; a line on standard output where a stretch begins or ends."""
+    import anyio
+
+    from ploverhall.bookkeeping.replica import JOB, end_record
+    from ploverhall.transport.http import Client, Reply, Server, Unreachable
+    from ploverhall.transport.wire import Request
+    from tests.standins import Fleet, State
+
+    state = State()
+    state.store.kv = {f"{JOB}j-{i:06d}": (end_record("withdrawn", 0), 1) for i in range(1, size + 1)}
+
+    async def handle(q: Request) -> Reply:
+        if q.path != "/kv":
+            return await state.handle(q)
+        found = [(k, v) for k, v in state.store.read(q.query["starts"]).items() if k > q.query.get("from", "")]
+        items = [{"path": k, "v": v, "feather": n} for k, (v, n) in found[:1000]]  # as large pages as the service gives
+        return Reply(200, {"items": items, "hasNext": len(found) > 1000, "moult": state.store.rev})
+
+    spec = {"id": "j-999999", "flock": "f", "keeper": "t", "gait": "array", "rank": "normal", "chicks": 4, "cores": 1.0, "gpus": 1.0,
+            "ramGb": 1.0, "plumage": "i", "pullGb": 0.1, "breeds": None, "marsh": None, "together": False, "scatter": False,
+            "driftwood": False, "flightS": 9.0, "nestS": 0.0, "tuckS": 0.0, "duskS": None}  # fmt: skip
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tg:
+            fleet = Fleet({}, 0)
+            fleet.tasks, fleet.most = tg, 0
+            tg.start_soon(Server(handle, 100).run, "127.0.0.1", ports[2])
+            tg.start_soon(Server(fleet.handle, 100).run, "127.0.0.1", ports[3])
+            user = Client("127.0.0.1", ports[0], AT_ONCE)
+
+            async def asked(method: str, path: str, body: Any) -> int:
+                try:
+                    return (await user.call(method, path, body, 5.0))[0]
+                except Unreachable:
+                    return 0
+
+            with anyio.fail_after(60.0):
+                while await asked("POST", "/api/jobs", spec) not in (200, 201):
+                    await anyio.sleep(0.2)
+            await anyio.sleep(1.0)
+            print("idle", flush=True)
+            await anyio.sleep(2.0)
+            print("asked", flush=True)
+
+            async def questions() -> None:
+                for _ in range(ASKED // AT_ONCE):
+                    status = await (asked("GET", "/api/jobs/j-999999", None) if verb == "poll" else asked("POST", "/api/jobs", spec))
+                    assert status == 200, status
+
+            async with anyio.create_task_group() as users:
+                for _ in range(AT_ONCE):
+                    users.start_soon(questions)
+            print("over", flush=True)
+            await anyio.sleep_forever()
+
+    anyio.run(play)
+
+
+def poll_cost(size: int) -> float:
+    """A user asks for a job that waits."""
+    return users_cost(size, "poll")
+
+
+def resubmission_cost(size: int) -> float:
+    """A user submits a job again that waits."""
+    return users_cost(size, "resubmission")
+
+
+PARTS = {"request": request_cost, "report": report_cost, "permit": permit_cost, "crowd": crowd_cost, "poll": poll_cost,
+         "resubmission": resubmission_cost}  # fmt: skip
 
 
 def main() -> int:
@@ -257,7 +383,11 @@
     p.add_argument("--sizes", default="500,5000")
     p.add_argument("--part", choices=PARTS, action="append")
     p.add_argument("--child", nargs=2, metavar=("PART", "SIZE"), help=argparse.SUPPRESS)
+    p.add_argument("--beside", nargs="+", help=argparse.SUPPRESS)
     a = p.parse_args()
+    if a.beside:
+        beside(a.beside[0], int(a.beside[1]), [int(x) for x in a.beside[2:]])
+        return 0
     if a.child:
         print(PARTS[a.child[0]](int(a.child[1])))
         return 0
@@ -267,7 +397,7 @@
             data = subprocess.run(["git", "archive", a.base, "ploverhall"], cwd=ROOT, check=True, capture_output=True).stdout
             subprocess.run(["tar", "x", "-C", folder], input=data, check=True)
             trees = {a.base[:12]: Path(folder), "this": ROOT}
-        print(f"{'part':<10}{'machines':>9}  " + "".join(f"{name:>14}" for name in trees) + "   us of processor time, least of", ROUNDS)
+        print(f"{'part':<13}{'size':>9}  " + "".join(f"{name:>14}" for name in trees) + "   us of processor time, least of", ROUNDS)
         for part in a.part or PARTS:
             for size in [0] if part == "request" else [int(x) for x in a.sizes.split(",")]:
                 got: dict[str, list[float]] = {name: [] for name in trees}
@@ -280,7 +410,7 @@
                             print(r.stderr, file=sys.stderr)
                             return 1
                         got[name].append(float(r.stdout))
-                print(f"{part:<10}{size or '-':>9}  " + "".join(f"{min(v):>14.1f}" for v in got.values()), flush=True)
+                print(f"{part:<13}{size or '-':>9}  " + "".join(f"{min(v):>14.1f}" for v in got.values()), flush=True)
     return 0
 
 
--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -127,6 +127,14 @@
             if other != name:
                 self.p.net.cut(name, other, mode, s)
 
+    async def zone(self) -> None:
+        """A zone is cut off with its workers and its controller, for longer than a lease; now and then that one ends meanwhile."""
+        s = self.seconds(1.5 * LEASE, 4.0 * LEASE, 8.0 * LEASE)
+        self.p.cut_zone("b", self.rng.choice([HOLD, RESET, SILENT]), s)
+        if self.rng.random() < 0.4:
+            await anyio.sleep(self.seconds(4.0, 12.0))
+            await self.end(self.p.names[self.p.zones.index("b")], self.rng.choice([0.3, 3.0]))
+
     async def no_workers(self) -> None:
         self.p.cut_workers(self.leader(), self.rng.choice([HOLD, RESET, SILENT, DEAF]), self.seconds(8.0, 25.0), self.rng.random() < 0.7)
 
@@ -170,7 +178,7 @@
 
 
 KINDS = ("refuse", "outage", "slow", "late_writes", "late_reports", "deaf", "held_up", "crash", "roll", "pause", "alone", "no_workers",
-         "peers", "gap")  # fmt: skip
+         "peers", "gap", "zone")  # fmt: skip
 Day = tuple[list[Trouble], float]  # the troubles by their times, and when all of them are ended
 
 
