--- a/tests/meetings.py
+++ b/tests/meetings.py
@@ -13,15 +13,18 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import itertools
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from random import Random
 
 import anyio
 
+from ploverhall.transport.http import Unreachable
+
 from . import world
 from .played import DEAF, HOLD, REFUSE, RESET, SILENT, SLOW, Played, play
 
@@ -86,13 +89,90 @@
 
     async def late_reports(self) -> None:
         self.p.copy_reports(self.rng, self.rng.choice([0.1, 0.4]), 2.0, 2.2 * LEASE)
-        await anyio.sleep(self.seconds(8.0, 25.0))
-        self.p.fleet.sent = None
+        await self.sent_for(self.seconds(8.0, 25.0))
+
+    async def for_next(self) -> None:
+        """Old reports are kept for the next leader, and reach every controller as it begins and when it has acted."""
+        self.p.keep_for_next(self.rng.choice([0.3, 1.0]), self.rng.choice([1, 3]))
+        await self.sent_for(self.seconds(15.0, 40.0))
+
+    async def sent_for(self, s: float) -> None:
+        """What is done with reports that leave ends after so long, unless another trouble does something else with them by then."""
+        mine = self.p.fleet.sent
+        await anyio.sleep(s)
+        if self.p.fleet.sent is mine:
+            self.p.fleet.sent = None
+
+    async def cloud(self) -> None:
+        """Rentals and deletions are late or not answered, lists lag, and new machines are up within two seconds."""
+        f = self.p.fleet
+        f.lost_answers, f.late_requests, f.list_lag_s, f.boots = 0.2, 0.2, self.p.list_lag_s, (0.2, 2.0)
+        try:
+            await anyio.sleep(self.seconds(15.0, 40.0))
+        finally:
+            f.lost_answers = f.late_requests = 0.0
 
     async def deaf(self) -> None:
         machines = self.rng.sample(sorted(self.p.workers), 4)
         self.p.deafen(machines, self.seconds(0.4 * LEASE, LEASE, 2.0 * LEASE))
 
+    async def mute(self) -> None:
+        """Some machines, or a zone's, can open no connection to any controller."""
+        zone = [w.name for w in self.p.workers.values() if w.zone == "b"]
+        machines = zone if self.rng.random() < 0.3 else self.rng.sample(sorted(self.p.workers), 4)
+        self.p.mute(machines, self.seconds(0.7 * LEASE, 1.5 * LEASE, 3.0 * LEASE))
+
+    async def hang(self) -> None:
+        """Some machines hang, within their lease or beyond it."""
+        self.p.hang(self.rng.sample(sorted(self.p.workers), 4), self.seconds(0.5 * LEASE, 0.9 * LEASE, 2.0 * LEASE))
+
+    async def cancel_and_hang(self) -> None:
+        """Many jobs are called off within a fifth of a second, and some of their machines hang at once."""
+        on = {w.name: {k[0] for k in w.on_machine()} - self.p.withdrawing for w in self.p.workers.values()}
+        some = self.rng.sample(sorted(n for n, found in on.items() if found), min(4, sum(map(bool, on.values()))))
+        for jid in sorted({j for n in some for j in on[n]}):
+            self.p.tasks.start_soon(self.p.withdraw, jid)
+        await anyio.sleep(0.2 * self.rng.random())
+        self.p.hang([n for n in some if n in self.p.workers], self.seconds(0.5 * LEASE, 0.9 * LEASE, 2.0 * LEASE))
+
+    async def cancel_at_end(self) -> None:
+        """Jobs are called off in the 20 ms around the end of their last task."""
+        until, seen = self.p.now + self.seconds(15.0, 40.0), set[str]()
+        while self.p.now < until:
+            await anyio.sleep(0.02)
+            ends = [k for w in self.p.workers.values() for k, t in w.tasks.items()
+                    if t["state"] == "running" and 0.0 <= t["until"] - self.p.now < 0.05]  # fmt: skip
+            for jid, task, _ in ends:
+                others = all((jid, i) in self.p.fleet.results for i in range(self.p.specs[jid].n) if i != task)
+                if jid not in seen and (others or self.p.specs[jid].kind == "gang") and jid in self.p.asked:
+                    seen.add(jid)
+                    if self.rng.random() < 0.6:
+                        self.p.tasks.start_soon(self.later, 0.07 * self.rng.random(), self.p.withdraw, jid)
+
+    async def later(self, s: float, call: Callable[[str], Awaitable[None]], jid: str) -> None:
+        """A user does something in so many seconds, trouble or not."""
+        await anyio.sleep(s)
+        await call(jid)
+
+    async def close_looks(self) -> None:
+        await self.p.close_looks(self.seconds(15.0, 40.0))
+
+    async def odd_requests(self) -> None:
+        """Repeated submissions of what is unfinished, cancellations of what is done, jobs that fit no machine or lack a field."""
+        until, p, rng = self.p.now + self.seconds(15.0, 40.0), self.p, self.rng
+        while p.now < until:
+            await anyio.sleep(0.5 * rng.random())
+            if known := sorted(j for j, a in p.asked.items() if a.accepted is not None):
+                p.tasks.start_soon(p.resubmit, rng.choice(known), rng.choice(p.names))
+            if done := sorted(j for j, t in p.told.items() if t == "done"):
+                p.tasks.start_soon(p.withdraw, rng.choice(done))
+            how = rng.choice([{"gpus": 64.0}, {"keeper": "nobody"}, {"cores": None}])
+            wrong = {**p.spec(990_000 + rng.randrange(100), gait="array"), **how}
+            with contextlib.suppress(Unreachable):
+                status, _ = await p.users[rng.choice(p.names)].call("POST", "/api/jobs", wrong, 5.0)
+                if status in (200, 201):
+                    p.broken.append(f"accepted though it can't run: {wrong}")
+
     async def held_up(self) -> None:
         """Commands and answers to some machines are held up, and then delivered."""
         s = self.seconds(3.0, 8.0, 0.9 * LEASE, 2.0 * LEASE)
@@ -184,7 +264,8 @@
 
 
 KINDS = ("refuse", "outage", "slow", "late_writes", "late_reports", "deaf", "held_up", "crash", "roll", "pause", "alone", "no_workers",
-         "peers", "gap", "zone")  # fmt: skip
+         "peers", "gap", "zone", "for_next", "lost_answers", "cloud", "mute", "hang", "cancel_and_hang", "cancel_at_end", "close_looks",
+         "odd_requests")  # fmt: skip
 Day = tuple[list[Trouble], float]  # the troubles by their times, and when all of them are ended
 
 
@@ -211,7 +292,8 @@
         await anyio.sleep(max(0.0, at + until - p.now))
         tg.cancel_scope.cancel()
     p.calm()
-    while p.down:  # those that have ended are back within seconds
+    # what has ended is back within seconds, what hangs in a lease or two
+    while p.down or any(w.hung_until > p.now for w in p.workers.values()):
         await anyio.sleep(0.1)
 
 
@@ -234,6 +316,8 @@
                 p.tasks.start_soon(p.withdraw, jid)
         missing = await p.all_answered(KNOWN_S)
         assert not missing, f"forgotten: {missing[:3]}"
+        left = await p.left_waiting()
+        assert not left, f"left waiting: {sorted(left)[:3]}"
         await anyio.sleep(max(CANCEL + 3.0, 200.0 + 35.0 - (p.now - p.settled_at)))
 
     before = world.LEASE, world.CANCEL
@@ -258,7 +342,8 @@
 
 def rule(what: str) -> str:
     """Which rule a verdict speaks of."""
-    names = ("ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back", "served")
+    names = ("ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back", "left waiting",
+             "can't run", "served")  # fmt: skip
     return next((n for n in names if n in what), what[:40])
 
 
