--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,7 +13,10 @@
 import pytest
 
 from ploverhall.control.following import Following
+from ploverhall.coordination.afterlife import Rights
 from ploverhall.coordination.answers import Proof
+from ploverhall.coordination.cancellations import Cancellations
+from ploverhall.coordination.fleet import Machine
 from ploverhall.coordination.ledger import JobState
 from ploverhall.coordination.owner import Owner
 from ploverhall.protocol.state import Store
@@ -45,6 +48,11 @@
     meet(seed, ("slow", "refuse", "outage", "late_writes"))
 
 
+@pytest.mark.parametrize("seed", range(400, 406))
+def test_lost_answers_close_looks_and_machines_that_are_mute_or_hang(seed: int) -> None:
+    meet(seed, ("for_next", "lost_answers", "cloud", "mute", "hang", "cancel_and_hang", "cancel_at_end", "close_looks", "odd_requests", "crash"))
+
+
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("kept", [True, False])
 def test_tasks_that_end_far_apart_across_changes_of_leader(seed: int, kept: bool, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -162,22 +170,45 @@
     return Proof(self.shared.clock())
 
 
-def unguarded(real: Any) -> Any:
+def unguarded(*keys: str) -> Any:
+    """Writes without their guards on what is known of these keys."""
+    real = Store.txn
+
     async def txn(self: Store, guards: dict[str, int], *a: Any, **kw: Any) -> Any:
-        return await real(self, {k: v for k, v in guards.items() if not k.startswith(("c/", "p/shard/"))}, *a, **kw)
+        return await real(self, {k: v for k, v in guards.items() if not (k.startswith(keys) and v)}, *a, **kw)
 
     return txn
 
 
+def _yes(*_: Any) -> bool:
+    return True
+
+
+def _no(*_: Any) -> bool:
+    return False
+
+
+def _long(*_: Any) -> float:
+    return 100.0
+
+
 @pytest.mark.parametrize(("seed", "kinds", "rule", "where", "name", "without"), [
-    (509, ("held_up", "deaf", "crash", "pause"), "ran_twice", Owner, "_check", _check_without_tokens),
-    (508, ("late_writes", "slow", "crash"), "ran_twice", Store, "txn", unguarded(Store.txn)),
-    (500, ("alone", "gap", "pause", "slow"), "forgotten", Following, "proof", always),
-])  # fmt: skip
+    (501, ("held_up", "deaf", "crash", "pause"), "ran_twice", Owner, "_check", _check_without_tokens),
+    (505, ("late_writes", "slow", "crash"), "ran_twice", Store, "txn", unguarded("c/", "p/shard/")),
+    (501, ("late_writes", "cancel_at_end", "slow"), "went_back", Store, "txn", unguarded("p/job/")),
+    (501, ("alone", "gap", "pause", "slow"), "forgotten", Following, "proof", always),
+    (503, ("zone", "alone", "gap"), "ran_cancelled", Cancellations, "may_tell", _yes),
+    (503, ("zone", "alone", "gap"), "ran_cancelled", Cancellations, "isolated", _no),
+    (505, ("zone", "crash"), "ran_cancelled", Rights, "left", _long),
+    (502, ("alone", "late_reports", "no_workers"), "ran_twice", Machine, "took", property(_yes, lambda *_: None)),
+], ids=["token", "chunk and epoch", "job's version", "proof", "telling at once", "answering without a sign", "right in the token",
+        "took"])  # fmt: skip
 def test_a_drawn_day_finds_what_a_guard_is_there_for(
     seed: int, kinds: tuple[str, ...], rule: str, where: type, name: str, without: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """What a list omits is gone only under a raised token; writes are guarded; nobody is answered from an old copy."""
+    """What a list omits is gone only under a raised token, and silence proves it only for who has taken this owner's; writes are guarded;
+    nobody is answered from an old copy, told at once, kept alive without a sign, or for longer than its token says.
+    """
     monkeypatch.setattr(where, name, without)
     with pytest.raises(AssertionError, match=rule):
         meet(seed, kinds)
