--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -50,7 +50,10 @@
 
 @pytest.mark.parametrize("seed", range(400, 406))
 def test_lost_answers_close_looks_and_machines_that_are_mute_or_hang(seed: int) -> None:
-    meet(seed, ("for_next", "lost_answers", "cloud", "mute", "hang", "cancel_and_hang", "cancel_at_end", "close_looks", "odd_requests", "crash"))
+    meet(
+        seed,
+        ("for_next", "lost_answers", "cloud", "mute", "hang", "cancel_and_hang", "cancel_at_end", "close_looks", "odd_requests", "crash"),
+    )
 
 
 @pytest.mark.parametrize("seed", range(4))
