--- a/ploverhall/transport/http.py
+++ b/ploverhall/transport/http.py
@@ -70,7 +70,7 @@
         self.cap = cap
         self.idle_s = idle_s
         self.slow_s = slow_s
-        self.connections: set[_Connection] = set()
+        self.connections: dict[_Connection, None] = {}  # in the order they came: a set's would be that of their addresses in memory
 
     async def run(self, host: str, port: int) -> None:
         """Listen and serve until cancelled."""
@@ -89,7 +89,7 @@
 
     async def _serve(self, stream: anyio.abc.ByteStream) -> None:
         c = _Connection(self.clock() + self.idle_s)
-        self.connections.add(c)
+        self.connections[c] = None
         try:
             with c.scope:
                 async with stream:
@@ -101,7 +101,7 @@
         except _BROKEN:
             pass
         finally:
-            self.connections.discard(c)
+            self.connections.pop(c, None)
 
     async def _talk(self, stream: anyio.abc.ByteStream, c: _Connection) -> None:
         reader = RequestReader()
