Reread: writes without their guards, for tests, stand in one place

Found rereading the change: tests of lost answers had brought a third copy of what test_back and test_carry did to take guards out of a transaction. Left as they are: the variants of test_meetings (keeps guards that say "no such key") and test_users (only ends and cancellations), which differ in what they take out; the settings of scripts.cost and test_loopback, alike in shape only. Package sources are untouched.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,6 +15,7 @@
 import orjson
 
 from ploverhall.protocol.jobs import Job
+from ploverhall.protocol.state import Store
 from ploverhall.transport.http import Client, Reply, Server, Unreachable
 from ploverhall.transport.net import TCP, Net
 from ploverhall.transport.wire import Request
@@ -313,3 +314,13 @@
             self.tick(w)
             if w is next(iter(self.workers.values()), None):
                 world.World.gangs(self)  # type: ignore[arg-type]
+
+
+def unguarded(*prefixes: str) -> tuple[type, str, Any]:
+    """For monkeypatch.setattr: controllers' writes without their guards on keys that begin so."""
+    real = Store.txn
+
+    async def txn(self: Store, guards: dict[str, int], *a: Any, **kw: Any) -> Any:
+        return await real(self, {k: v for k, v in guards.items() if not k.startswith(prefixes)}, *a, **kw)
+
+    return Store, "txn", txn
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -13,9 +13,9 @@
 import pytest
 
 from ploverhall.bookkeeping.replica import NODE, SHARD
-from ploverhall.protocol.state import Store
 
 from .played import Played, play
+from .standins import unguarded
 from .test_carry import busy
 
 
@@ -87,12 +87,7 @@
 def test_a_write_of_the_earlier_life_lands_when_the_new_one_has_begun(guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """A permit's write is held back in the network, its controller ends and is back; the new life starts the replicas elsewhere."""
     if not guarded:
-        real = Store.txn
-
-        async def unguarded(self: Store, guards: Any, puts: Any, deletes: Any, *a: Any, **kw: Any) -> Any:
-            return await real(self, {k: v for k, v in guards.items() if not k.startswith(("p/shard/", "c/"))}, puts, deletes, *a, **kw)
-
-        monkeypatch.setattr(Store, "txn", unguarded)
+        monkeypatch.setattr(*unguarded("p/shard/", "c/"))
     late: list[Any] = []
 
     async def scene(p: Played) -> None:
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -23,11 +23,11 @@
 from ploverhall.coordination.answers import Proof
 from ploverhall.coordination.cancellations import Cancellations
 from ploverhall.protocol import carry
-from ploverhall.protocol.state import Store
 from ploverhall.transport.http import Reply, Unreachable
 
 from . import played
 from .played import HOLD, RESET, SILENT, Played, play
+from .standins import unguarded
 
 
 async def busy(p: Played, s: float = 60.0, services: int = 3) -> float:
@@ -220,13 +220,7 @@
 def test_a_carried_write_that_lands_after_another_has_claimed(guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """c1 takes a write of c0's and gives no answer; c0's part is taken, its new holder starts replicas, and then the write lands."""
     if not guarded:
-        real = Store.txn
-
-        async def unguarded(self: Store, guards: Any, puts: Any, deletes: Any, *a: Any, **kw: Any) -> Any:
-            keep = {k: v for k, v in guards.items() if not k.startswith(("p/shard/", "c/"))}
-            return await real(self, keep, puts, deletes, *a, **kw)
-
-        monkeypatch.setattr(Store, "txn", unguarded)
+        monkeypatch.setattr(*unguarded("p/shard/", "c/"))
     late: list[carry.Question] = []
 
     async def scene(p: Played) -> None:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -26,7 +26,7 @@
 from ploverhall.transport.http import Reply, Unreachable
 
 from .played import Played, play
-from .standins import State
+from .standins import State, unguarded
 from .test_afterlife import breaks
 from .test_carry import busy
 
@@ -165,15 +165,6 @@
     assert kills or p.fleet.killed_by_lease == 0
 
 
-def unguarded(*prefixes: str) -> Any:
-    real = Store.txn
-
-    async def txn(self: Store, guards: dict[str, int], *a: Any, **kw: Any) -> Any:
-        return await real(self, {k: v for k, v in guards.items() if not k.startswith(prefixes)}, *a, **kw)
-
-    return Store, "txn", txn
-
-
 def claims_once() -> Any:
     """Without: who finds itself as the holder, and does not hold it, leaves it at that."""
     real = Membership.check
