--- a/scripts/days.py
+++ b/scripts/days.py
@@ -3,13 +3,15 @@
     python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR [--tree CHECKOUT]... [--drawn 30] [--seed 1] [--jobs 6]
     python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR --table [--tree BEFORE --tree AFTER]
     python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR --meetings 20 [--only gap]
+    python -m scripts.days --bench FLEETBENCH --site SITE.toml --out DIR --further 20 [--seed 1]
 
 `--drawn N` makes N copies of the site, each with 2 to 7 controllers, 1 to 4 zones (at least 2 where jobs are spread; uneven ones,
 sometimes one without a controller), 0.5 to 1.5 times the machines and arrivals, processes back after 0.1 to 6 s, and one day on
 each. Number I of a seed is always the same copy and day. `--table` plays the fixed days that fast restarts were first measured by
 (1.5 times the machines, back in 0.3 s). `--meetings N` makes N days on which two or three troubles meet, three times a day, while
 half to four fifths of an array class is cancelled: every third one the gap (a controller is refused or cut off, and then the state
-service is down for everybody for longer than `cancel_s`), the others drawn by `meeting`. Days are played without charging the
+service is down for everybody for longer than `cancel_s`), the others drawn by `meeting`. `--further N` makes N days with the
+operators' further troubles, the meetings of `scripts.further` one after the other. Days are played without charging the
 processor unless `--charge` is given, so that a day mostly repeats; a day whose figures lie in DIR already is not played again.
 
 What is judged, of a played day: rules; the least share of any class or team, and of any class's largest jobs, that is served, and how
@@ -34,7 +36,7 @@
 
 import tomli_w
 
-from scripts import served, trees
+from scripts import further, served, trees
 
 COLUMNS = ("figure", "rules", "least served", "who", "largest served", "begun in s", "by themselves", "killed by lease",
            "worst 30 s", "processor s", "memory", "sockets")  # fmt: skip
@@ -186,6 +188,18 @@
     return Day(name, f"x{times:g}, back in {delay:g} s: {kinds}", site)
 
 
+def later(file: Path, seed: int, i: int) -> Day:
+    """Number I of a seed: three of the further meetings, on a day of one shape (`scripts.further`)."""
+    rng, site = Random(f"further {seed} {i}"), bare(file)
+    delay = rng.choice(DELAYS)
+    shape, more = further.shaped(site, i, rng)
+    site["nodes"]["restart_delay_s"] = delay
+    faults, names = further.faults(site, seed, i, rng)
+    name = f"further-{seed}-{i}"
+    site["day"] = [{"name": name, "slot": "scale", "light": True, "seed": 3000 + i, "faults": faults, **more}]
+    return Day(name, f"{shape}, back in {delay:g} s: {', '.join(names)}", site)
+
+
 def bare(file: Path) -> dict[str, Any]:
     """A site without its own days."""
     site = tomllib.loads(file.read_text())
@@ -309,11 +323,13 @@
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--table", action="store_true", help="the fixed days")
     p.add_argument("--meetings", type=int, default=0, help="so many days on which troubles meet")
+    p.add_argument("--further", type=int, default=0, help="so many days with the further troubles")
     p.add_argument("--charge", action="store_true", help="charge the processor, as a score does")
     args = p.parse_args()
     bench, wire = str(Path(args.bench).resolve()), args.site.resolve().parent / bare(args.site)["wire"]
     days = [drawn(args.site, args.seed, i) for i in range(args.first, args.first + args.drawn)] + (table(args.site) if args.table else [])
     days += [met(args.site, args.seed, i) for i in range(args.first, args.first + args.meetings)]
+    days += [later(args.site, args.seed, i) for i in range(args.first, args.first + args.further)]
     days = [d for d in days if args.only in d.name]
     heads = {"day": lambda d: d.name, "copy": lambda d: d.copy}
     played = trees.side_by_side(args, days, heads, COLUMNS, lambda d, t, out: play(bench, t, d, wire, out, args.charge))
