Placement: a pass is bounded, and a machine's totals are kept instead of added up

Cause: a placement pass reserved for all waiting tasks of a job in one step of the event loop, and every reservation refreshed its machine, which added up all its permits, tasks and reservations anew; the cost of fetching an image was computed in the same way. The step grew with the square of the tasks that fit a machine.

Log: `event loop stalled seconds=57.5`.

Change: `machine_usage` keeps the sums, counts and preemptible tasks of a machine and updates them by attempt; a rebuild after as many changes as there are attempts bounds rounding errors. A pass has a bound of work, counted in checks, reservations and queue entries; what is left goes on in the next pass. Searches for work to preempt are counted and bounded too. Between two passes the loop gives other tasks a turn.

--- a/ploverhall/controller/context.py
+++ b/ploverhall/controller/context.py
@@ -46,6 +46,11 @@
     image_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     released: bool = False
 
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Return whether the shard's last step has left work over, because a step is bounded."""
+        return self.owner.has_unfinished_work
+
 
 class ControllerContext:
     """The state of one controller process that several of its parts use."""
--- a/ploverhall/controller/scheduling_loop.py
+++ b/ploverhall/controller/scheduling_loop.py
@@ -80,15 +80,18 @@
                 self._periodic_updates(now)
             if now > self.next_shortage_log_at:
                 self._log_shortages(now)
-            self._step_all()
+            await self._step_all()
             self._notify_peers_of_pending()
             await anyio.sleep(STEP_INTERVAL_S)
 
     async def _wait_for_work(self) -> None:
         """Wait for a wake-up, at most for the idle interval.
 
-        The limit is half the interval while a source holds back offers.
+        The limit is half the interval while a source holds back offers. If the previous step has
+        left work over, there is no wait.
         """
+        if any(held.has_unfinished_work for held in self.context.held_shards.values()):
+            return
         holding_back = any(
             held.source is not None and held.source.holding_back_offers
             for held in self.context.held_shards.values()
@@ -120,16 +123,22 @@
         self.next_shortage_log_at = now + SHORTAGE_LOG_INTERVAL_S
         self.max_lag_s = 0.0
 
-    def _step_all(self) -> None:
+    async def _step_all(self) -> None:
         """Step every held shard, and repeat while its roles have messages for each other.
 
         There are at most `MAX_LOCAL_ROUNDS` rounds; the roles concerned are those of this
-        controller.
+        controller. Behind a step that has left work over, other tasks get a turn: leases are
+        renewed and requests answered in the meantime.
         """
         for _ in range(MAX_LOCAL_ROUNDS):
             now = self.context.clock()
             for held in list(self.context.held_shards.values()):
+                if held.released:
+                    continue
                 self._step(held, now)
+                if held.has_unfinished_work:
+                    await anyio.lowlevel.checkpoint()
+                    now = self.context.clock()
             local_messages = self.routing.collect(self.context.settings.name, 0)
             for message in local_messages:
                 self.routing.accept(message)
--- a/ploverhall/controller/shard_roles.py
+++ b/ploverhall/controller/shard_roles.py
@@ -72,7 +72,7 @@
             context.controller_index,
         )
         owner.machine_types = context.machine_types or {}
-        owner.inventory.resources_of_job = context.resources_of_job
+        owner.inventory.usage.resources_of_job = context.resources_of_job
         owner.job_ended_in_store = context.store_cache.ended_jobs.__contains__
         return owner
 
--- a/ploverhall/scheduling/free_capacity.py
+++ b/ploverhall/scheduling/free_capacity.py
@@ -20,6 +20,10 @@
 from ploverhall.scheduling.scoring import score_machine
 
 MAX_PREEMPTION_SEARCHES = 24  # preemption searches in one pass
+# The work of one pass is counted in checks of one machine, about half a microsecond each
+MAX_PASS_WORK = 30_000
+RESERVATION_WORK = 100  # of a search that ends with a reservation, besides its checks
+QUEUE_ENTRY_WORK = 4
 # If a start would take longer than this, machines that hold the image are searched for a cheaper
 # preemption plan
 WARM_SEARCH_THRESHOLD_S = 2.0
@@ -36,7 +40,11 @@
 
 @dataclass(slots=True)
 class PlacementPass:
-    """The state of one pass over the queue."""
+    """The state of one pass over the queue.
+
+    A pass ends when `work_left` is used up, since nothing else runs in the meantime; the next pass
+    goes on where it ended.
+    """
 
     now: float
     preempt: bool  # waiting candidates may search for work to preempt
@@ -45,6 +53,13 @@
     searches_left: int = MAX_PREEMPTION_SEARCHES
     gang_waits: bool = False  # a gang earlier in the queue lacks capacity
     failed_shapes: list[TaskShape] = field(default_factory=list)
+    work_left: int = MAX_PASS_WORK
+    interrupted: bool = False  # the job that is being placed has more to try, but no work is left
+
+    @property
+    def work_exhausted(self) -> bool:
+        """Return whether the pass has to end before it has looked at the whole queue."""
+        return self.work_left <= 0
 
 
 @dataclass(slots=True)
@@ -99,8 +114,12 @@
         current: PlacementPass,
         gained: dict[str, Machine] | None,
         zone: str | None = None,
+        at_once: bool = False,
     ) -> int:
-        """Reserve free capacity for up to `missing` candidates; return how many still lack it."""
+        """Reserve free capacity for up to `missing` candidates; return how many still lack it.
+
+        Ends early when the work of the pass is exhausted, unless `at_once` is set.
+        """
         job = request.job
         shape = TaskShape(job.resources, job.machine_types, job.zone, job.spot)
         if (
@@ -119,29 +138,51 @@
             zone,
         )
         while missing > 0:
-            if not self._reserve_one(request, search, current.now):
+            if current.work_exhausted and not at_once:
+                current.interrupted = True
+                break
+            if not self._reserve_one(request, search, current):
                 if search.depends_only_on_shape:
                     current.failed_shapes.append(shape)
                 break
             missing -= 1
         return missing
 
+    def preempt(
+        self,
+        request: CandidateRequest,
+        missing: int,
+        current: PlacementPass,
+        zone: str | None = None,
+    ) -> int:
+        """Reserve capacity for up to `missing` candidates by preemption, and return how many."""
+        work_before = self.preemption.work
+        found = self.preemption.reserve(request, missing, current.now, zone)
+        current.work_left -= self.preemption.work - work_before + found * RESERVATION_WORK
+        return found
+
     def _pools(self, job: Job, zone: str | None) -> list[MachinePool]:
         """Return the pools in which a job may run, restricted to `zone` unless it is None."""
         pools = self.inventory.allowed_pools(job)
         return [pool for pool in pools if zone is None or pool[1] == zone]
 
-    def _reserve_one(self, request: CandidateRequest, search: MachineSearch, now: float) -> bool:
+    def _reserve_one(
+        self, request: CandidateRequest, search: MachineSearch, current: PlacementPass
+    ) -> bool:
         """Reserve for one candidate on the machine that fits best; return False if none fits."""
         job = request.job
+        now = current.now
         pools = search.open_pools()
+        checks_before = self.inventory.fit_checks
         found = [
             machine
             for machine in self._find_machines(job, search, pools)
             if not self.inventory.unusable(machine, now)
         ]
+        current.work_left -= 1 + self.inventory.fit_checks - checks_before
         if not found:
             return False
+        current.work_left -= RESERVATION_WORK
         cost_s, _, _, machine = min(
             (*score_machine(self.inventory, job, machine), machine.name, machine)
             for machine in found
@@ -153,7 +194,9 @@
             and search.gained is None
             and (job.kind != "gang" or request.count == 1)
         ):
+            work_before = self.preemption.work
             plan = self.preemption.find_warm_plan(request, pools, now)
+            current.work_left -= self.preemption.work - work_before
         if plan is not None and plan.cost_s < cost_s:
             machine = plan.machine
             self.reservations.reserve(request, machine, plan.cost_s, now, plan.victims)
@@ -171,6 +214,7 @@
                 job, pools, search.avoided, self.sample, self.random
             )
         gained = search.gained
+        self.inventory.fit_checks += len(gained)
         for name in [name for name, machine in gained.items() if machine.index_bucket is None]:
             del gained[name]
         found = [
--- a/ploverhall/scheduling/gang_placement.py
+++ b/ploverhall/scheduling/gang_placement.py
@@ -15,6 +15,10 @@
 from ploverhall.scheduling.preemption import PreemptionPlanner
 from ploverhall.scheduling.reservations import CandidateRequest, ReservationTable
 
+# A larger gang is placed over several passes, and only as the first gang in the queue: all of a
+# smaller one is placed in one pass, whatever work that pass has left
+MAX_GANG_TASKS_PER_PASS = 1_000
+
 
 class GangPlacement:
     """Reserves capacity for whole gangs."""
@@ -59,6 +63,9 @@
         how many tasks are still missing.
         """
         is_first = not current.gang_waits
+        at_once = request.count <= MAX_GANG_TASKS_PER_PASS
+        if not at_once and not is_first:
+            return missing
         if is_first:
             self._become_partial_gang(request)
         pools = self._open_pools(request)
@@ -76,9 +83,9 @@
             return missing
         earlier = set(job_reservations)
         if bound > 0:
-            missing = self.free_capacity.reserve(request, missing, current, None, zone)
-        if missing > 0 and preempt:
-            missing -= self.preemption.reserve(request, missing, current.now, zone)
+            missing = self.free_capacity.reserve(request, missing, current, None, zone, at_once)
+        if missing > 0 and preempt and (at_once or not current.work_exhausted):
+            missing -= self.free_capacity.preempt(request, missing, current, zone)
         if missing > 0 and not is_first:
             self._release_since(request, earlier, current.now)
         return missing
--- a/ploverhall/scheduling/inventory.py
+++ b/ploverhall/scheduling/inventory.py
@@ -7,18 +7,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from random import Random
 
-from ploverhall.protocol.agents import EXITED, AttemptId
+from ploverhall.protocol.agents import AttemptId
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job
+from ploverhall.scheduling.machine_usage import UsageTracker
 from ploverhall.scheduling.machines import (
     JobTraits,
     Machine,
     MachinePool,
     Permit,
-    occupies,
 )
 from ploverhall.scheduling.preemption_index import PreemptionIndex
 from ploverhall.scheduling.resources import (
@@ -56,8 +56,8 @@
         self.permits_by_machine: dict[str, dict[AttemptId, Permit]] = {}
         self.deleted_machines: set[str] = set()  # names of machines that the cloud has deleted
         self.job_traits: dict[str, JobTraits] = {}
-        self.preemption_index = PreemptionIndex(self.job_traits)
-        self.resources_of_job: Callable[[str], ResourceVector | None] = lambda job_id: None
+        self.preemption_index = PreemptionIndex()
+        self.usage = UsageTracker(self.job_traits)
         self.capacity_index: dict[MachinePool, dict[CapacityLevel, list[Machine]]] = {}
         # Indexed machines that hold an image and have at least one whole unit free
         self.warm_machines: dict[tuple[MachinePool, str], dict[str, Machine]] = {}
@@ -74,10 +74,23 @@
     # -- free capacity -----------------------------------------------------------------------
 
     def mark_changed(self, machine: Machine | None) -> None:
-        """Mark a machine to be refreshed before the next placement decision; None is ignored."""
+        """Mark anything on a machine as changed; None is ignored.
+
+        The machine is refreshed before the next placement decision.
+        """
         if machine is not None:
+            machine.usage.must_rebuild = True
             self.changed_machines[machine.name] = machine
 
+    def mark_attempt_changed(self, machine: Machine, attempt_id: AttemptId) -> None:
+        """Mark a permit or a listed task of a machine as changed, and the machine for a refresh."""
+        machine.usage.changed_attempts[attempt_id] = None
+        self.changed_machines[machine.name] = machine
+
+    def mark_for_refresh(self, machine: Machine) -> None:
+        """Mark a machine to be refreshed whose tasks and permits have not changed."""
+        self.changed_machines[machine.name] = machine
+
     def free_capacity(self, machine: Machine) -> ResourceVector:
         """Return what listed tasks, permits and reservations leave free.
 
@@ -86,36 +99,18 @@
         machine_type = self.machine_types.get(machine.type)
         if machine_type is None:
             return NO_RESOURCES
-        free = machine_type.resources
-        for attempt_id, permit in machine.permits.items():
-            if occupies(permit, machine.tasks.get(attempt_id)):
-                free = add_scaled(free, permit.resources, -1)
-        for attempt_id, task in machine.tasks.items():
-            if attempt_id not in machine.permits and task.state != EXITED:
-                # A task of an unknown job may use the whole machine
-                resources = self.resources_of_job(attempt_id.job_id) or machine_type.resources
-                free = add_scaled(free, resources, -1)
-        for reservation in machine.reservations.values():
-            free = add_scaled(free, reservation.resources, -1)
-        return free
+        usage = self.usage.update(machine)
+        free = add_scaled(machine_type.resources, usage.used, -1)
+        if usage.unknown_attempts:
+            free = add_scaled(free, machine_type.resources, -len(usage.unknown_attempts))
+        return add_scaled(free, usage.reserved, -1)
 
     def capacity_for_services(self, machine: Machine, free: ResourceVector) -> ResourceVector:
         """Return the capacity available to services.
 
         This is `free` plus the resources of work that yields to services.
         """
-        for attempt_id, permit in machine.permits.items():
-            traits = self.job_traits.get(attempt_id.job_id)
-            task = machine.tasks.get(attempt_id)
-            if (
-                traits is not None
-                and traits.yields_to_services
-                and not permit.gone
-                and not permit.refused
-                and (task is None or task.state != EXITED)
-            ):
-                free = add_scaled(free, permit.resources)
-        return free
+        return add_scaled(free, self.usage.update(machine).yielded)
 
     def unusable(self, machine: Machine, now: float) -> bool:
         """Return whether a machine may get no new work."""
@@ -161,7 +156,7 @@
             or self.unusable(machine, now)
         ):
             self._unindex(machine)
-            self.preemption_index.update(machine, {}, False)
+            self.preemption_index.remove(machine)
             return
         self._index(machine, machine_type)
         has_gained = not was_indexed or any(
@@ -170,9 +165,7 @@
         )
         if has_gained:
             self.machines_with_gains[machine.name] = machine
-        self.preemption_index.update(
-            machine, self.preemption_index.preemptible_tasks(machine), has_gained
-        )
+        self.preemption_index.update(machine, has_gained)
 
     def _index(self, machine: Machine, machine_type: MachineType) -> None:
         """Put a usable machine into the index bucket of its free capacity."""
@@ -226,7 +219,7 @@
     def remove(self, machine: Machine) -> None:
         """Remove a machine from the inventory and all its indexes."""
         self._unindex(machine)
-        self.preemption_index.update(machine, {}, False)
+        self.preemption_index.remove(machine)
         for image in machine.images:
             self._remove_holder(machine, image)
         self.machines.pop(machine.name, None)
@@ -273,7 +266,7 @@
             self._unindex(machine)
             older = {image: gb for image, gb in known.items() if image not in machine.images}
             self.set_images(machine, {**older, **machine.images})
-            self.mark_changed(machine)
+            self.mark_for_refresh(machine)
 
     def set_images(self, machine: Machine, images: dict[str, float]) -> None:
         """Replace the images of a machine that is not in the index."""
--- a/ploverhall/scheduling/lease_monitor.py
+++ b/ploverhall/scheduling/lease_monitor.py
@@ -70,6 +70,7 @@
         machine.lease_expired = True
         machine.command_pending = False
         self.state.schedule_commands(machine)
+        self.state.mark_changed(machine)
         self.permit_table.expire_machine(machine)
         machine.tasks = {}
         machine.listed_tasks = None
--- a/ploverhall/scheduling/machines.py
+++ b/ploverhall/scheduling/machines.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ploverhall.protocol.agents import EXITED, AttemptId, ListedTask, TaskStatus
 from ploverhall.scheduling.resources import NO_RESOURCES, ResourceVector
@@ -107,6 +109,41 @@
         return self.priority > 0 and self.spot_allowed and self.kind == "array"
 
 
+class AttemptUsage(NamedTuple):
+    """What one attempt contributes to the totals of its machine."""
+
+    resources: ResourceVector | None  # None: it uses no capacity
+    yielded: ResourceVector | None  # counts as available to services; None: it does not yield
+    preemption_class: PreemptionClass | None  # None: it is not preemptible
+    image: str | None  # of a permit that is not gone
+    is_unknown: bool  # listed without a permit, and its job is unknown
+
+
+@dataclass(slots=True)
+class MachineUsage:
+    """Totals of what is on one machine, as of their last update (`machine_usage`)."""
+
+    attempts: dict[AttemptId, AttemptUsage] = field(default_factory=dict)
+    used: ResourceVector = NO_RESOURCES  # by permits and listed tasks
+    yielded: ResourceVector = NO_RESOURCES  # the part of `used` that yields to services
+    reserved: ResourceVector = NO_RESOURCES
+    # Listed attempts of unknown jobs: each may use the whole machine
+    unknown_attempts: dict[AttemptId, None] = field(default_factory=dict)
+    preemptible: dict[AttemptId, PreemptionClass] = field(default_factory=dict)
+    # Numbers of preemptible attempts, of permits that are not gone, and of reservations; never 0
+    preemptible_by_class: Counter[PreemptionClass] = field(default_factory=Counter)
+    permits_by_image: Counter[str] = field(default_factory=Counter)
+    permits_by_job: Counter[str] = field(default_factory=Counter)
+    reservations_by_image: Counter[str] = field(default_factory=Counter)
+    reservations_by_job: Counter[str] = field(default_factory=Counter)
+    # It has gained a preemptible attempt since the preemption index last read it
+    gained_preemptible: bool = False
+    # Attempts to be read again
+    changed_attempts: dict[AttemptId, None] = field(default_factory=dict)
+    must_rebuild: bool = True  # all attempts and reservations are to be read again
+    changes_since_rebuild: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     """One machine: its agent's last heartbeat, the messages sent to it, and its capacity."""
@@ -157,8 +194,8 @@
     free_for_services: ResourceVector = NO_RESOURCES
     index_bucket: list[Machine] | None = None  # its bucket in the index; None: not indexed
     index_position: int = 0
-    # Its preemptible tasks at the last refresh
-    preemptible: dict[AttemptId, PreemptionClass] = field(default_factory=dict)
+    usage: MachineUsage = field(default_factory=MachineUsage)
+    # Classes of its preemptible tasks at the last refresh
     preemptible_classes: frozenset[PreemptionClass] = frozenset()
     # `PreemptionIndex.generation` when it last gained a preemptible task or free capacity
     preemptible_since: int = 0
--- a/ploverhall/scheduling/permit_table.py
+++ b/ploverhall/scheduling/permit_table.py
@@ -54,7 +54,7 @@
                 else min(update.stop_grace_s, permit.stop_grace_s)
             )
         self.check_gone(permit)
-        self.state.schedule_commands(self.machines.get(permit.machine))
+        self.state.attempt_changed(self.machines.get(permit.machine), attempt_id)
 
     def _add(
         self, attempt_id: AttemptId, source_shard: int, update: PermitUpdate, now: float
@@ -92,7 +92,7 @@
         self.changed_attempts.discard(attempt_id)
         key = (permit.source_shard, peer_messages.attempt_key(attempt_id))
         self.reservations.source_updates[key] = None
-        self.state.schedule_commands(self.machines.get(permit.machine))
+        self.state.attempt_changed(self.machines.get(permit.machine), attempt_id)
 
     # -- admission ---------------------------------------------------------------------------
 
@@ -158,6 +158,7 @@
             elif victim.stop_grace_s is None:
                 victim.stop_grace_s = traits.preemption_grace_s
             self.changed_attempts.add(attempt_id)
+            self.inventory.mark_attempt_changed(machine, attempt_id)
             self._claim_guarantee(permit.attempt_id.job_id, traits)
 
     def _claim_guarantee(self, job_id: str, victim: JobTraits) -> None:
@@ -172,8 +173,15 @@
         by_guarantee = not victim.within_guarantee and victim.priority <= traits.priority
         if by_guarantee or victim.preemption_class[-1]:
             traits.claimed_guarantee = True
-            for permit in self.permits_by_job[job_id].values():
-                self.state.mark_changed(self.machines.get(permit.machine))
+            self.job_traits_changed(job_id)
+
+    def job_traits_changed(self, job_id: str) -> None:
+        """Note that the traits of a job have changed: they decide what may preempt its tasks."""
+        for attempt_id, permit in self.permits_by_job.get(job_id, {}).items():
+            machine = self.machines.get(permit.machine)
+            if machine is not None:
+                self.inventory.mark_attempt_changed(machine, attempt_id)
+                self.state.needs_step = True
 
     def waits_for_victims(self, permit: Permit, machine: Machine | None) -> bool:
         """Return whether a victim of a permit still occupies the machine."""
@@ -204,7 +212,7 @@
             if permit.stop_grace_s != 0.0:
                 permit.stop_grace_s = 0.0
                 self.check_gone(permit)
-                self.state.schedule_commands(self.machines.get(permit.machine))
+                self.state.attempt_changed(self.machines.get(permit.machine), permit.attempt_id)
                 self.changed_attempts.add(permit.attempt_id)
 
     def expire_machine(self, machine: Machine) -> None:
@@ -245,7 +253,7 @@
             self._check_unlisted(permit, machine)
         if permit.gone:
             self.changed_attempts.add(permit.attempt_id)
-            self.state.schedule_commands(machine)
+            self.state.attempt_changed(machine, permit.attempt_id)
 
     def _check_unlisted(self, permit: Permit, machine: Machine) -> None:
         """Mark a permit that its machine does not list as gone, if no run can still arrive."""
--- a/ploverhall/scheduling/preemption.py
+++ b/ploverhall/scheduling/preemption.py
@@ -37,6 +37,9 @@
 PREEMPTION_SAMPLE_PER_TASK = 4
 PLANS_PER_TASK = 2  # a search ends after its sample once it has this many
 WARM_SAMPLE = 24  # machines holding the image that are searched for a plan
+# A search ends after this much work (machines and possible victims looked at); the next one starts
+# at another machine
+MAX_SEARCH_WORK = 20_000
 
 
 class PreemptionPlan(NamedTuple):
@@ -93,6 +96,7 @@
         self.victims: set[AttemptId] = set()
         # Number of machines searched for a plan; tests of how the cost scales read it
         self.checks = 0
+        self.work = 0  # number of machines and possible victims looked at
         self._exhausted_by_job: dict[str, ExhaustedSearch] = {}
         self._exhausted_by_shape: dict[GangShape, ExhaustedSearch] = {}
 
@@ -143,11 +147,13 @@
 
     def victims_in_progress(self) -> set[AttemptId]:
         """Return the task attempts that are already being stopped for others, as a new set."""
-        return {
+        victims = {
             attempt_id
             for reservation in self.reservations.preempting.values()
             for attempt_id in reservation.victims
         } | self.victims
+        self.work += len(victims)
+        return victims
 
     # -- reserving by preemption -------------------------------------------------------------
 
@@ -173,9 +179,12 @@
             return 0
         machines = self._machines_to_search(request, classes, zone)
         victims_in_progress = self.victims_in_progress()
-        plans = self._make_plans(request, machines, missing, victims_in_progress, now)
-        found = self._reserve_by_plans(request, plans, missing, victims_in_progress, now)
-        if found < missing:
+        max_work = self.work + MAX_SEARCH_WORK
+        plans = self._make_plans(request, machines, missing, victims_in_progress, max_work, now)
+        searched_all = self.work < max_work
+        max_work = self.work + MAX_SEARCH_WORK
+        found = self._reserve_by_plans(request, plans, missing, victims_in_progress, max_work, now)
+        if found < missing and searched_all:
             search = ExhaustedSearch(self.inventory.preemption_index.generation, found, zone)
             self._exhausted_by_job[request.job.id] = search
             if shape is not None:
@@ -216,6 +225,7 @@
         }
         machines: list[Machine] = []
         for machine in reversed(self.inventory.preemption_index.candidates.values()):
+            self.work += 1
             if machine.preemptible_since <= since:
                 break  # the machines that follow have gained nothing for even longer
             if machine.pool in pools and not machine.preemptible_classes.isdisjoint(classes):
@@ -229,10 +239,13 @@
         machines: list[Machine],
         missing: int,
         victims_in_progress: set[AttemptId],
+        max_work: int,
         now: float,
     ) -> list[PreemptionPlan]:
         """Return plans for a sample of the machines, and for more while there are too few plans.
 
+        The search ends when `work` reaches `max_work`.
+
         Every machine that holds the image is searched first: in a large fleet a sample of all
         machines misses them, and the task would start late because it has to fetch the image.
         """
@@ -246,6 +259,8 @@
         for position, machine in enumerate(machines):
             if machine.name in avoided or self.inventory.unusable(machine, now):
                 continue
+            if self.work >= max_work:
+                break
             plan = self._plan(machine, request, victims_in_progress, now)
             if plan is not None:
                 plans.append(plan)
@@ -259,16 +274,17 @@
         plans: list[PreemptionPlan],
         missing: int,
         victims_in_progress: set[AttemptId],
+        max_work: int,
         now: float,
     ) -> int:
-        """Reserve by the cheapest plans, and return how many were used.
+        """Reserve by the cheapest plans until `work` reaches `max_work`; return how many were used.
 
         A machine that was used is planned again, since it may have room for another candidate.
         """
         zone_limits = self.reservations.remaining_zone_limits(request)
         heapq.heapify(plans)
         found = 0
-        while plans and found < missing:
+        while plans and found < missing and self.work < max_work:
             plan = heapq.heappop(plans)
             machine = plan.machine
             if zone_limits is not None:
@@ -325,6 +341,7 @@
         None if the task fits without stopping anything, or not even by stopping all victims.
         """
         self.checks += 1
+        self.work += 1 + len(machine.usage.preemptible)
         need = request.job.resources
         free = self._free_after_victims_in_progress(machine, victims_in_progress)
         chosen: list[AttemptId] = []
@@ -371,11 +388,12 @@
         Attempts that are already being stopped are left out.
         """
         victims: list[PossibleVictim] = []
-        for attempt_id, permit in machine.permits.items():
-            preemption_class = machine.preemptible.get(attempt_id)
+        if machine.name not in self.inventory.preemption_index.candidates:
+            return victims  # it was not usable at its last refresh
+        for attempt_id, preemption_class in machine.usage.preemptible.items():
+            permit = machine.permits[attempt_id]
             if (
-                preemption_class is None
-                or attempt_id in victims_in_progress
+                attempt_id in victims_in_progress
                 or permit.gone
                 or permit.refused
                 or permit.stop_grace_s is not None
--- a/ploverhall/scheduling/reservations.py
+++ b/ploverhall/scheduling/reservations.py
@@ -171,13 +171,14 @@
         )
         self._next_id += 1
         machine.reservations[reservation.id] = reservation
+        self.inventory.usage.add_reservation(machine, reservation)
         self.by_job.setdefault(reservation.job_id, {})[reservation.id] = reservation
         self._expiry_queue.append(reservation)
         if victims:
             self.preempting[reservation.id] = reservation
         self._offer(reservation)
         self.inventory.refresh(machine, now)
-        self.inventory.mark_changed(machine)  # so that the autoscaler gets an update
+        self.inventory.mark_for_refresh(machine)  # so that the autoscaler gets an update
         return reservation
 
     def _offer(self, reservation: Reservation) -> None:
@@ -206,8 +207,9 @@
         self.source_updates[key] = None
         machine = self.inventory.machines.get(reservation.machine)
         if machine is not None:
-            machine.reservations.pop(reservation.id, None)
-            self.inventory.mark_changed(machine)
+            if machine.reservations.pop(reservation.id, None) is not None:
+                self.inventory.usage.remove_reservation(machine, reservation)
+            self.inventory.mark_for_refresh(machine)
         if requeue:
             self.enqueue_if_missing(reservation.job_id)
 
--- a/ploverhall/scheduling/scoring.py
+++ b/ploverhall/scheduling/scoring.py
@@ -55,35 +55,19 @@
 
 def _fetch_cost_s(job: Job, machine: Machine, rate_gb_s: float) -> float:
     """Return the cost in seconds of fetching the job's image to a machine without it."""
-    fetched_for_permits = {
-        permit.image
-        for permit in machine.permits.values()
-        if not permit.gone and permit.image not in machine.images
-    }
-    fetched_for_reservations = {
-        reservation.image
-        for reservation in machine.reservations.values()
-        if reservation.image not in machine.images
-    }
     fetch_s = job.image_gb / max(rate_gb_s, MIN_FETCH_RATE_GB_S)
-    if job.image in fetched_for_permits:
+    permitted, reserved = machine.usage.permits_by_image, machine.usage.reservations_by_image
+    if job.image in permitted:
         return fetch_s * FETCH_IN_PROGRESS_FACTOR
-    if job.image in fetched_for_reservations:
+    if job.image in reserved:
         return fetch_s * FETCH_RESERVED_FACTOR
     # Images fetched at the same time share the machine's fetch rate
-    fetch_s *= 1 + len(fetched_for_permits | fetched_for_reservations)
+    fetch_s *= 1 + len((permitted.keys() | reserved.keys()) - machine.images.keys())
     # An image that has to be fetched anyway should not evict others from a well-filled image cache
     return fetch_s + CACHED_IMAGE_COST_S * len(machine.images)
 
 
 def _replicas_on(job: Job, machine: Machine) -> int:
     """Return how many replicas of a service are permitted or reserved on a machine."""
-    permitted = sum(
-        1
-        for attempt_id, permit in machine.permits.items()
-        if attempt_id.job_id == job.id and not permit.gone
-    )
-    reserved = sum(
-        1 for reservation in machine.reservations.values() if reservation.job_id == job.id
-    )
-    return permitted + reserved
+    usage = machine.usage
+    return usage.permits_by_job[job.id] + usage.reservations_by_job[job.id]
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -91,7 +91,7 @@
     def machine_types(self, types: dict[str, MachineType]) -> None:
         self.inventory.machine_types = types
         for machine in self.machines.values():
-            self.inventory.mark_changed(machine)
+            self.inventory.mark_for_refresh(machine)
         self.needs_step = True
 
     # -- requests of sources -----------------------------------------------------------------
@@ -259,12 +259,16 @@
         tasks = heartbeat.tasks()
         for attempt_id, task in tasks.items():
             old = machine.tasks.get(attempt_id)
-            if old is None or old != task or heartbeat.termination_notice_s is not None:
+            if old is None or old != task:
+                self.inventory.mark_attempt_changed(machine, attempt_id)
+            elif heartbeat.termination_notice_s is None:
+                continue
+            self.changed_attempts.add(attempt_id)
+            self._record_task_transition(machine, attempt_id, old, task, now)
+        for attempt_id in machine.tasks:
+            if attempt_id not in tasks:
+                self.inventory.mark_attempt_changed(machine, attempt_id)
                 self.changed_attempts.add(attempt_id)
-                self._record_task_transition(machine, attempt_id, old, task, now)
-        self.changed_attempts.update(
-            attempt_id for attempt_id in machine.tasks if attempt_id not in tasks
-        )
         machine.tasks = tasks
         machine.listed_tasks = heartbeat.listed_tasks
         for attempt_id, task in tasks.items():
@@ -389,6 +393,11 @@
         for machine in self.inventory.changed_machines.values():
             self.changed_for_autoscaler[machine.name] = machine
 
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Return whether the last call of `place_candidates` has left work for the next one."""
+        return self.placement.is_unfinished
+
     # -- commands ----------------------------------------------------------------------------
 
     def commands_for(
--- a/ploverhall/scheduling/shard_state.py
+++ b/ploverhall/scheduling/shard_state.py
@@ -60,16 +60,26 @@
         self.job_ended_in_store: Callable[[str], bool] = lambda job_id: False
 
     def mark_changed(self, machine: Machine | None) -> None:
-        """Note that a machine's free capacity may have changed; None is ignored."""
+        """Note that anything on a machine may have changed; None is ignored."""
         if machine is not None:
             self.inventory.mark_changed(machine)
             self.needs_step = True
 
+    def attempt_changed(self, machine: Machine | None, attempt_id: AttemptId) -> None:
+        """Note that a permit or a listed task has changed, and so may its machine's commands.
+
+        Does nothing if the machine is None.
+        """
+        if machine is not None:
+            self.inventory.mark_attempt_changed(machine, attempt_id)
+            self.schedule_commands(machine)
+
     def schedule_commands(self, machine: Machine | None) -> None:
-        """Note that a machine's free capacity or commands may have changed; None is ignored."""
+        """Note that a machine's usability or commands may have changed; None is ignored."""
         if machine is not None:
-            self.mark_changed(machine)
+            self.inventory.mark_for_refresh(machine)
             self.machines_needing_commands[machine.name] = machine
+            self.needs_step = True
 
     def raise_token(self, machine: Machine) -> bool:
         """Raise a machine's fencing token, so that commands sent under earlier tokens are rejected.
--- a/ploverhall/scheduling/source_requests.py
+++ b/ploverhall/scheduling/source_requests.py
@@ -88,9 +88,7 @@
         traits = _job_traits(self.state.jobs[job_id], update, old)
         self.state.inventory.job_traits[job_id] = traits
         if old is None or old.preemption_class != traits.preemption_class:
-            # A change of the preemption class changes which jobs may preempt its tasks
-            for permit in self.permit_table.permits_by_job.get(job_id, {}).values():
-                self.state.mark_changed(self.state.machines.get(permit.machine))
+            self.permit_table.job_traits_changed(job_id)
         if update.failing_everywhere and not (old is not None and old.failing_everywhere):
             self.quarantine.clear_machines(job_id)
 
@@ -98,6 +96,7 @@
         self.state.jobs.pop(job_id, None)
         self.state.resources_by_job.pop(job_id, None)
         self.state.inventory.job_traits.pop(job_id, None)
+        self.permit_table.job_traits_changed(job_id)
         self.placement.cancel(job_id)
 
     def end_job(self, job_id: str) -> None:
--- a/tests/simulation/model_shard.py
+++ b/tests/simulation/model_shard.py
@@ -42,7 +42,7 @@
             model.now,
         )
         self.owner.machine_types = {"t": parameters.MACHINE_TYPE}
-        self.owner.inventory.resources_of_job = lambda job_id: (
+        self.owner.inventory.usage.resources_of_job = lambda job_id: (
             controller.replica.live_jobs[job_id][0].resources
             if job_id in controller.replica.live_jobs
             else None
