Owners: a machine gets no more tasks than its heartbeat can list

Cause: placement knew CPUs, GPUs and memory, but not that a heartbeat is a request of at most 64 KiB that lists every task on the machine, also the exited ones that are not reaped yet.

Change: a machine has 500 task slots, from the longest names and counts that are accepted (128 bytes a task). Reservations, permits and listed tasks take one each; a full machine leaves the index of free capacity, stays in that of preemptible work, and counts as without free capacity for the autoscaler. A run that would exceed the limit (a new owner that learns of permits and of listed tasks from others) waits until exited tasks are reaped. An answer and a direct request hold at most one command for each task, so their bound of 64 KiB follows.

The autoscaler's packing sorts the capacities once for each job instead of searching them for each group of machines.

--- a/ploverhall/autoscaling/bin_packing.py
+++ b/ploverhall/autoscaling/bin_packing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from ploverhall.protocol.agents import MAX_LISTED_TASKS
 from ploverhall.scheduling.machines import MachinePool
 from ploverhall.scheduling.resources import ResourceVector, add_scaled, fits
 
@@ -36,21 +37,31 @@
         Returns:
             The number of tasks that were placed.
         """
-        capacities = self.slots.get(pool)
+        capacities = self.slots.get(pool, {})
         left = count
-        while left > 0 and capacities:
-            free = min((free for free in capacities if fits(resources, free)), default=None)
-            if free is None:
+        for free in sorted(capacities):
+            while left > 0 and free in capacities and fits(resources, free):
+                left -= self._fill(pool, free, resources, left)
+            if left <= 0:
                 break
-            tasks_per_machine = 1
-            remaining = add_scaled(free, resources, -1)
-            while tasks_per_machine < left and fits(resources, remaining):
-                remaining = add_scaled(remaining, resources, -1)
-                tasks_per_machine += 1
-            # Handle in one step all machines of this capacity that the remaining tasks can fill
-            machine_count = min(capacities[free], left // tasks_per_machine) or 1
-            self.add(pool, free, -machine_count)
-            if any(amount > MIN_FREE_AMOUNT for amount in remaining):
-                self.add(pool, remaining, machine_count)
-            left -= machine_count * tasks_per_machine
         return count - left
+
+    def _fill(
+        self, pool: MachinePool, free: ResourceVector, resources: ResourceVector, count: int
+    ) -> int:
+        """Place tasks on machines with the capacity `free`, in which a task fits.
+
+        Handles at once all machines of this capacity that `count` tasks can fill, and returns the
+        number of tasks placed.
+        """
+        tasks_per_machine = 1
+        max_tasks = min(count, MAX_LISTED_TASKS)
+        remaining = add_scaled(free, resources, -1)
+        while tasks_per_machine < max_tasks and fits(resources, remaining):
+            remaining = add_scaled(remaining, resources, -1)
+            tasks_per_machine += 1
+        machine_count = min(self.slots[pool][free], count // tasks_per_machine) or 1
+        self.add(pool, free, -machine_count)
+        if any(amount > MIN_FREE_AMOUNT for amount in remaining):
+            self.add(pool, remaining, machine_count)
+        return machine_count * tasks_per_machine
--- a/ploverhall/scheduling/command_builder.py
+++ b/ploverhall/scheduling/command_builder.py
@@ -56,10 +56,29 @@
                 self.state.raise_token(machine)
         if not direct and not machine.tasks.keys() <= machine.permits.keys():
             commands += self._unpermitted_task_commands(machine)
-        for permit in runs:
+        for permit in self._listable_runs(machine, runs):
             commands.append(self._run_command(permit, machine, direct))
         return commands
 
+    def _listable_runs(self, machine: Machine, runs: list[Permit]) -> list[Permit]:
+        """Return the runs after which the machine's heartbeats can still list all of its tasks.
+
+        The others wait until tasks that have exited are reaped. Reservations keep below the limit;
+        work that replaces preempted tasks, and permits of an earlier owner, may not.
+        """
+        max_tasks = self.state.inventory.max_listed_tasks
+        if len(machine.tasks) + len(machine.permits) <= max_tasks:
+            return runs
+        unlisted_count = sum(
+            1
+            for permit in machine.permits.values()
+            if permit.run_token and not permit.gone and permit.attempt_id not in machine.tasks
+        )
+        new_run_count = max(0, max_tasks - len(machine.tasks) - unlisted_count)
+        sent_before = [permit for permit in runs if permit.run_token]
+        new_runs = [permit for permit in runs if not permit.run_token]
+        return sent_before + new_runs[:new_run_count]
+
     def direct_commands(self, now: float) -> list[tuple[Machine, Command]]:
         """Return (machine, request body) for each direct request to send.
 
--- a/ploverhall/scheduling/inventory.py
+++ b/ploverhall/scheduling/inventory.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from ploverhall.protocol.agents import AttemptId
+from ploverhall.protocol.agents import MAX_LISTED_TASKS, AttemptId
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job
 from ploverhall.scheduling.machine_usage import UsageTracker
@@ -35,8 +35,6 @@
 UNRESPONSIVE_INTERVALS = 2.0
 UNRESPONSIVE_MARGIN_S = 1.5
 CORE_FRACTION = 4  # the unit of core levels is a quarter of a core
-# Upper bound on the number of tasks on one machine that need less than a whole unit
-MAX_TASKS_WITHOUT_UNITS = 1000
 # Once one machine was found in a bucket, the search there ends after this many tries for each
 # machine wanted
 TRIES_PER_MACHINE = 4
@@ -45,7 +43,10 @@
 class Inventory:
     """Machines by name, by free capacity, by cached image and by preemptible work."""
 
-    def __init__(self, heartbeat_interval_s: float) -> None:
+    def __init__(
+        self, heartbeat_interval_s: float, max_listed_tasks: int = MAX_LISTED_TASKS
+    ) -> None:
+        self.max_listed_tasks = max_listed_tasks
         self.heartbeat_interval_s = heartbeat_interval_s
         self.unresponsive_after_s = (
             UNRESPONSIVE_INTERVALS * heartbeat_interval_s + UNRESPONSIVE_MARGIN_S
@@ -112,6 +113,14 @@
         """
         return add_scaled(free, self.usage.update(machine).yielded)
 
+    def free_task_slots(self, machine: Machine) -> int:
+        """Return how many more tasks a machine may get before its heartbeats become too large.
+
+        A task that has exited counts until it is reaped. Negative if there are too many already.
+        """
+        used = self.usage.update(machine).listed_count + len(machine.reservations)
+        return self.max_listed_tasks - used
+
     def unusable(self, machine: Machine, now: float) -> bool:
         """Return whether a machine may get no new work."""
         return (
@@ -148,6 +157,7 @@
         self.refresh_count += 1
         free_before, was_indexed = machine.free, machine.index_bucket is not None
         machine.free = self.free_capacity(machine)
+        machine.free_task_slots = self.free_task_slots(machine)
         machine.free_for_services = self.capacity_for_services(machine, machine.free)
         machine_type = self.machine_types.get(machine.type)
         if (
@@ -158,10 +168,17 @@
             self._unindex(machine)
             self.preemption_index.remove(machine)
             return
-        self._index(machine, machine_type)
-        has_gained = not was_indexed or any(
-            after > before + EPSILON
-            for after, before in zip(machine.free, free_before, strict=True)
+        if machine.has_task_slot:
+            self._index(machine, machine_type)
+        else:
+            self._unindex(machine)  # it stays in the preemption index, and its pool stays known
+            self.capacity_index.setdefault(machine.pool, {})
+        has_gained = machine.has_task_slot and (
+            not was_indexed
+            or any(
+                after > before + EPSILON
+                for after, before in zip(machine.free, free_before, strict=True)
+            )
         )
         if has_gained:
             self.machines_with_gains[machine.name] = machine
@@ -299,7 +316,7 @@
             needed_units = self.whole_units(resources, self.machine_types[type_name])
             for (units, level), bucket in self.capacity_index[pool].items():
                 if units >= needed_units and level >= needed_level:
-                    by_units = units // needed_units if needed_units else MAX_TASKS_WITHOUT_UNITS
+                    by_units = units // needed_units if needed_units else self.max_listed_tasks
                     most_cores = 2.0**level / CORE_FRACTION + EPSILON * cpus
                     count += len(bucket) * min(by_units, max_count(cpus, most_cores))
         return count
--- a/ploverhall/scheduling/machine_usage.py
+++ b/ploverhall/scheduling/machine_usage.py
@@ -116,9 +116,9 @@
         if task is None:
             return None
         if task.state == EXITED:
-            return AttemptUsage(None, None, None, None, False)
+            return AttemptUsage(None, None, None, None, False, True)
         resources = self.resources_of_job(attempt_id.job_id)
-        return AttemptUsage(resources, None, None, None, resources is None)
+        return AttemptUsage(resources, None, None, None, resources is None, True)
 
     def _read_permit(self, permit: Permit, task: TaskStatus | None) -> AttemptUsage:
         """Return what a permit contributes; `task` is its entry in the machine's list, if any."""
@@ -136,6 +136,7 @@
             _preemption_class(permit, task, traits),
             None if permit.gone else permit.image,
             False,
+            not permit.gone or task is not None,
         )
 
 
@@ -161,6 +162,8 @@
         usage.used = add_scaled(usage.used, contribution.resources, sign)
     if contribution.yielded is not None:
         usage.yielded = add_scaled(usage.yielded, contribution.yielded, sign)
+    if contribution.may_be_listed:
+        usage.listed_count += sign
     if contribution.is_unknown:
         _set_value(usage.unknown_attempts, attempt_id, None, sign)
     if contribution.image is not None:
--- a/ploverhall/scheduling/machines.py
+++ b/ploverhall/scheduling/machines.py
@@ -117,6 +117,7 @@
     preemption_class: PreemptionClass | None  # None: it is not preemptible
     image: str | None  # of a permit that is not gone
     is_unknown: bool  # listed without a permit, and its job is unknown
+    may_be_listed: bool  # by the machine, now or later
 
 
 @dataclass(slots=True)
@@ -136,6 +137,7 @@
     permits_by_job: Counter[str] = field(default_factory=Counter)
     reservations_by_image: Counter[str] = field(default_factory=Counter)
     reservations_by_job: Counter[str] = field(default_factory=Counter)
+    listed_count: int = 0  # attempts that the machine lists or may list later
     # It has gained a preemptible attempt since the preemption index last read it
     gained_preemptible: bool = False
     # Attempts to be read again
@@ -192,6 +194,8 @@
     reservations: dict[int, Reservation] = field(default_factory=dict)
     free: ResourceVector = NO_RESOURCES  # at the last refresh
     free_for_services: ResourceVector = NO_RESOURCES
+    # How many more tasks its heartbeats can list
+    free_task_slots: int = 0
     index_bucket: list[Machine] | None = None  # its bucket in the index; None: not indexed
     index_position: int = 0
     usage: MachineUsage = field(default_factory=MachineUsage)
@@ -205,6 +209,11 @@
         """Return its type, zone and whether it is a spot machine."""
         return (self.type, self.zone, self.spot)
 
+    @property
+    def has_task_slot(self) -> bool:
+        """Return whether its heartbeats could list another task, as of the last refresh."""
+        return self.free_task_slots > 0
+
 
 def occupies(permit: Permit, task: TaskStatus | None) -> bool:
     """Return whether a permit uses capacity; `task` is its entry in the machine's list, if any."""
--- a/ploverhall/scheduling/permit_table.py
+++ b/ploverhall/scheduling/permit_table.py
@@ -137,7 +137,10 @@
         """Return whether a machine may admit a permit; `reserved` capacity is not checked again."""
         if machine.lease_expired or self.inventory.unusable(machine, now):
             return False
-        return reserved or fits(permit.resources, self.inventory.free_capacity(machine))
+        return reserved or (
+            fits(permit.resources, self.inventory.free_capacity(machine))
+            and self.inventory.free_task_slots(machine) > 0
+        )
 
     # -- victims -----------------------------------------------------------------------------
 
--- a/ploverhall/scheduling/preemption.py
+++ b/ploverhall/scheduling/preemption.py
@@ -343,17 +343,18 @@
         self.checks += 1
         self.work += 1 + len(machine.usage.preemptible)
         need = request.job.resources
-        free = self._free_after_victims_in_progress(machine, victims_in_progress)
+        free, task_slots = self._free_after_victims_in_progress(machine, victims_in_progress)
         chosen: list[AttemptId] = []
         lost_work_s = 0.0
         victims = self._possible_victims(machine, request, victims_in_progress, now)
         for victim_cost_s, attempt_id, resources in sorted(victims):
-            if fits(need, free):
+            if fits(need, free) and task_slots > 0:
                 break
             free = add_scaled(free, resources)
+            task_slots += 1
             chosen.append(attempt_id)
             lost_work_s += victim_cost_s
-        if not chosen or not fits(need, free):
+        if not chosen or not fits(need, free) or task_slots <= 0:
             return None
         start_cost_s, _ = score_machine(self.inventory, request.job, machine)
         cost_s = PREEMPTION_DELAY_S + LOST_WORK_WEIGHT * lost_work_s + start_cost_s
@@ -361,20 +362,21 @@
 
     def _free_after_victims_in_progress(
         self, machine: Machine, victims_in_progress: set[AttemptId]
-    ) -> ResourceVector:
-        """Return a machine's free capacity once the victims in progress have left.
+    ) -> tuple[ResourceVector, int]:
+        """Return a machine's free capacity and task slots once the victims in progress have left.
 
         The reservations and permits that they are stopped for are counted as used already.
         """
-        free = machine.free
+        free, task_slots = machine.free, machine.free_task_slots
         if victims_in_progress.isdisjoint(machine.permits):
-            return free
+            return free, task_slots
         for attempt_id, permit in machine.permits.items():
             if attempt_id in victims_in_progress and occupies(
                 permit, machine.tasks.get(attempt_id)
             ):
                 free = add_scaled(free, permit.resources)
-        return free
+                task_slots += 1
+        return free, task_slots
 
     def _possible_victims(
         self,
--- a/ploverhall/scheduling/shard_updates.py
+++ b/ploverhall/scheduling/shard_updates.py
@@ -12,6 +12,7 @@
 )
 from ploverhall.scheduling.inventory import Inventory
 from ploverhall.scheduling.machines import Machine, Permit
+from ploverhall.scheduling.resources import NO_RESOURCES
 
 # Wire values, see protocol.peer_messages
 NO_NOTICE = 0
@@ -56,6 +57,8 @@
     if machine.lease_expired or inventory.machines.get(machine.name) is not machine:
         return None
     free = inventory.free_capacity(machine)
+    if inventory.free_task_slots(machine) <= 0:
+        free = NO_RESOURCES  # it gets no more tasks, whatever capacity they leave free
     return MachineUpdate(
         machine.type,
         machine.zone,
