Sources: candidates, decisions and unwritten permits are bounded

Cause, the same class of fault at the source (found by reading and by counts, not seen by callers): a source requested candidates for all tasks of an array, decided on all offers of all jobs in one step, and searched all chunks of the team for each permit. Permits that the store could not take in time lost their reservations.

Change: a job has at most 512 candidates and unwritten permits; one decision issues about 1,024 permits and leaves the other jobs to the next one; while 4,096 permits are unwritten an array gets 16, and none before these are written. Replicas and gangs are not held back. Full chunks are not searched, and the last one is tried first.

It now decides until nothing is left over; what is measured and the bound are the same.

--- a/ploverhall/controller/context.py
+++ b/ploverhall/controller/context.py
@@ -49,7 +49,9 @@
     @property
     def has_unfinished_work(self) -> bool:
         """Return whether the shard's last step has left work over, because a step is bounded."""
-        return self.owner.has_unfinished_work
+        return self.owner.has_unfinished_work or (
+            self.source is not None and self.source.is_unfinished
+        )
 
 
 class ControllerContext:
--- a/ploverhall/scheduling/allocations.py
+++ b/ploverhall/scheduling/allocations.py
@@ -28,6 +28,8 @@
 # Share of the store's limit for a value that a chunk may fill; the rest is a margin for JSON's
 # overhead
 CHUNK_FILL_FACTOR = 0.92
+# A chunk is full if no more than this share of its size is free: about one allocation
+FULL_CHUNK_FRACTION = 0.015
 # A large array queues behind smaller arrays that arrived up to this much later
 MAX_LARGE_ARRAY_DELAY_S = 120.0
 # A job that has not started for this long goes ahead of higher priorities, in every second interval
@@ -76,6 +78,7 @@
         self.max_chunk_bytes = min(
             int(max_value_bytes * CHUNK_FILL_FACTOR), MAX_TRANSACTION_BYTES // 2
         )
+        self.min_chunk_room_bytes = int(self.max_chunk_bytes * FULL_CHUNK_FRACTION)
 
         # Jobs, and the resources that their teams use
         self.jobs: dict[str, JobState] = {}
@@ -91,10 +94,14 @@
 
         # State to be written to the key-value store
         self.chunks: dict[str, dict[int, RecordChunk]] = {team.name: {} for team in teams}
+        # By team: the chunks that are not full, so that a search for room skips the others
+        self.chunks_with_room: dict[str, dict[int, RecordChunk]] = {team.name: {} for team in teams}
         # Chunks to be written; True: the chunk holds permits that are not sent before it is written
         self.dirty_chunks: dict[RecordChunk, bool] = {}
         # Complete jobs whose end has not been written yet
         self.jobs_to_end: dict[str, JobState] = {}
+        self.uncommitted_count = 0  # permits that have not been written yet
+        self.last_chunk: dict[str, RecordChunk] = {}  # by team: the chunk that was last chosen
         self.obsolete_keys: list[str] = []  # keys of ended jobs' progress values, to be deleted
 
         # Work queued for decisions, and updates to be sent
@@ -205,11 +212,13 @@
             (allocation.shard, allocation.epoch, allocation.reservation_id)
         )
         if not allocation.committed:
+            self.uncommitted_count += 1
             job_state.uncommitted_per_shard[allocation.shard] = (
                 job_state.uncommitted_per_shard.get(allocation.shard, 0) + 1
             )
         self.used[job_state.team] = add_scaled(self.used[job_state.team], job_state.resources)
         allocation.chunk.add(allocation, job_state.resources)
+        self.update_room(allocation.chunk)
         self.changed_jobs.add(job_state.id)
         self.teams_with_changed_usage.add(job_state.team)
 
@@ -231,6 +240,8 @@
             ] = None
         self.used[job_state.team] = add_scaled(self.used[job_state.team], job_state.resources, -1)
         allocation.chunk.remove(allocation, job_state.resources)
+        if self.chunks[allocation.chunk.team].get(allocation.chunk.index) is allocation.chunk:
+            self.update_room(allocation.chunk)
         job_state.running_count -= allocation.running
         self.changed_jobs.add(job_state.id)
         self.jobs_with_changed_counts.add(job_state.id)
@@ -241,6 +252,7 @@
             self.jobs.pop(job_state.id, None)
 
     def _decrement_uncommitted(self, job_state: JobState, allocation: Allocation) -> None:
+        self.uncommitted_count -= 1
         job_state.uncommitted_per_shard[allocation.shard] -= 1
         if not job_state.uncommitted_per_shard[allocation.shard]:
             del job_state.uncommitted_per_shard[allocation.shard]
@@ -251,6 +263,8 @@
             self._decrement_uncommitted(job_state, allocation)
             allocation.committed = True
             self.changed_jobs.add(job_state.id)
+            if job_state.offers:
+                self.jobs_to_decide.add(job_state.id)
         if job_state.job is None and not allocation.finished:
             allocation.stop_grace_s = 0.0  # the job ended during the write
         self.update_permit(allocation)
@@ -277,18 +291,56 @@
     def chunk_for(self, team: str, size_bytes: int) -> RecordChunk:
         """Return a chunk that can take `size_bytes` more: a dirty one, else any, else a new one."""
         chunks = self.chunks[team]
+        last = self.last_chunk.get(team)
+        if (
+            last is not None
+            and last in self.dirty_chunks
+            and chunks.get(last.index) is last
+            and last.size_bytes + size_bytes <= self.max_chunk_bytes
+        ):
+            return last  # without a search for each of many allocations
+        self.last_chunk[team] = self._find_chunk(team, size_bytes)
+        return self.last_chunk[team]
+
+    def _find_chunk(self, team: str, size_bytes: int) -> RecordChunk:
+        """Search for a chunk of a team that can take `size_bytes` more; add one if needed."""
         best: RecordChunk | None = None
-        for chunk in chunks.values():
+        for chunk in self.chunks_with_room[team].values():
+            self.visit_count += 1
             if chunk.size_bytes + size_bytes <= self.max_chunk_bytes:
                 if chunk in self.dirty_chunks:
                     return chunk
                 best = best or chunk
-        if best is None:
-            index = 0
-            while index in chunks:
-                index += 1
-            best = chunks[index] = RecordChunk(team, index)
-        return best
+        return best or self._add_chunk(team)
+
+    def _add_chunk(self, team: str) -> RecordChunk:
+        chunks = self.chunks[team]
+        index = len(chunks)
+        while index in chunks:
+            index += 1
+        chunk = chunks[index] = RecordChunk(team, index)
+        self.chunks_with_room[team][index] = chunk
+        return chunk
+
+    def chunk_at(self, team: str, index: int) -> RecordChunk:
+        """Return a team's chunk by its index; add an empty one if it is not there."""
+        chunk = self.chunks[team].get(index)
+        if chunk is None:
+            chunk = self.chunks[team][index] = RecordChunk(team, index)
+            self.update_room(chunk)
+        return chunk
+
+    def drop_chunk(self, chunk: RecordChunk) -> None:
+        """Forget a chunk that holds nothing and was never written."""
+        self.chunks[chunk.team].pop(chunk.index, None)
+        self.chunks_with_room[chunk.team].pop(chunk.index, None)
+
+    def update_room(self, chunk: RecordChunk) -> None:
+        """Note whether a chunk has room for another allocation, after its size has changed."""
+        if chunk.size_bytes + self.min_chunk_room_bytes <= self.max_chunk_bytes:
+            self.chunks_with_room[chunk.team].setdefault(chunk.index, chunk)
+        else:
+            self.chunks_with_room[chunk.team].pop(chunk.index, None)
 
     def drop_offer(self, key: tuple[int, int]) -> None:
         """Remove an offer, given as (shard, reservation id); do nothing if it is unknown."""
--- a/ploverhall/scheduling/job_state.py
+++ b/ploverhall/scheduling/job_state.py
@@ -91,6 +91,11 @@
         """Return the number of tasks; 0 once the job has ended."""
         return self.job.task_count if self.job else 0
 
+    @property
+    def uncommitted_count(self) -> int:
+        """Return the number of permits that have not been written yet."""
+        return sum(self.uncommitted_per_shard.values())
+
     def is_done(self, task: int) -> bool:
         """Return whether a task has completed."""
         return bool(self.done_bits) and bool(self.done_bits[task >> 3] & (1 << (task & 7)))
--- a/ploverhall/scheduling/permitting.py
+++ b/ploverhall/scheduling/permitting.py
@@ -36,6 +36,7 @@
     header_bytes,
 )
 from ploverhall.scheduling.record_loader import RecordLoader
+from ploverhall.scheduling.resources import UNBOUNDED
 from ploverhall.scheduling.source_updates import SourceUpdates
 from ploverhall.scheduling.store_writer import StoreWriter
 from ploverhall.scheduling.unmet_demand import UnmetDemand
@@ -47,6 +48,12 @@
 MAX_IMMEDIATE_COST = 1.0  # an offer up to this cost is accepted at once
 TEAM_CHECK_INTERVAL_S = 0.2  # between checks of teams' waiting jobs against their limits
 SERVICE_CHECK_INTERVAL_S = 0.5  # between checks for replicas that wait for their team's limit
+# Permits that one call of `decide` issues before the remaining jobs wait for the next call
+MAX_PERMITS_PER_DECISION = 1_024
+# While so many permits are unwritten, an array gets a permit only if none of its own is unwritten,
+# and only a few: they could not be written before their reservations expire
+MAX_UNCOMMITTED_PERMITS = 4_096
+MIN_PERMITS_PER_JOB = 16
 REVISIT_INTERVAL_S = 1.0  # between decisions on all jobs with offers, changed or not
 
 
@@ -81,6 +88,7 @@
         self.source_updates = SourceUpdates(self.store, self.quotas)
         self.attempt_count = 0  # attempt numbers that this source has assigned
         self.holding_back_offers = False  # costlier offers wait for better ones
+        self.is_unfinished = False  # the last call of `decide` has left jobs for the next one
         self.next_team_check_at = 0.0
         self.next_revisit_at = 0.0
         self.next_service_check_at = 0.0
@@ -182,6 +190,7 @@
         if self.store.teams_with_stale_guarantees:
             self.quotas.update_guarantees()
         self.holding_back_offers = False
+        self.is_unfinished = False
         if not self.store.jobs_to_decide:
             return
         jobs_to_decide, self.store.jobs_to_decide = self.store.jobs_to_decide, set()
@@ -192,7 +201,13 @@
             and job_state.offers
             and job_state.job is not None
         ]
-        for job_state in sorted(with_offers, key=self.store.queue_order):
+        in_order = sorted(with_offers, key=self.store.queue_order)
+        max_uncommitted = self.store.uncommitted_count + MAX_PERMITS_PER_DECISION
+        for position, job_state in enumerate(in_order):
+            if self.store.uncommitted_count >= max_uncommitted:
+                self.store.jobs_to_decide.update(later.id for later in in_order[position:])
+                self.is_unfinished = True
+                break
             self._decide_job(job_state, now)
 
     def _run_timers(self, now: float) -> None:
@@ -260,7 +275,7 @@
         job = job_state.job
         assert job is not None
         self.store.visit_count += 1
-        count = self.quotas.candidate_count(job_state, now)
+        count = min(self.quotas.candidate_count(job_state, now), self._write_allowance(job_state))
         if count <= 0:
             return
         zone_limits = self.quotas.zone_limits(job_state)
@@ -281,6 +296,15 @@
             return
         self._permit_offers(job_state, chosen)
 
+    def _write_allowance(self, job_state: JobState) -> int:
+        """Return how many more permits of a job may wait to be written."""
+        job = job_state.job
+        if self.store.uncommitted_count < MAX_UNCOMMITTED_PERMITS or (
+            job is not None and job.kind != "array"
+        ):
+            return UNBOUNDED
+        return 0 if job_state.uncommitted_count else MIN_PERMITS_PER_JOB
+
     def _offers_by_preference(self, job_state: JobState, job: Job) -> list[Offer]:
         """Return a job's offers, best first, except those on machines that the job avoids.
 
--- a/ploverhall/scheduling/quota.py
+++ b/ploverhall/scheduling/quota.py
@@ -25,6 +25,9 @@
 from ploverhall.settings import Team
 
 UNLIMITED = 1e18  # limit of a resource for which the team has none
+# Candidates and unwritten permits that a job may have at a time. The rest of a large job waits for
+# the store's writes; its offers would expire before
+MAX_CANDIDATES_PER_JOB = 512
 
 
 class TeamQuotas:
@@ -92,9 +95,10 @@
             count = min(count, 1)  # only the first task goes ahead of other jobs
         if job_state.failing_everywhere and job.kind != "gang":
             count = min(count, 0 if job_state.allocations else 1)
-        if job.kind == "gang" and (job_state.allocations or count < job_state.task_count):
-            return 0  # all tasks or none, and only once no task of an earlier attempt is left
-        return max(0, count)
+        if job.kind == "gang":
+            # All tasks or none, and only once no task of an earlier attempt is left
+            return 0 if job_state.allocations or count < job_state.task_count else count
+        return max(0, min(count, MAX_CANDIDATES_PER_JOB - job_state.uncommitted_count))
 
     # -- guarantees --------------------------------------------------------------------------
 
--- a/ploverhall/scheduling/record_loader.py
+++ b/ploverhall/scheduling/record_loader.py
@@ -35,6 +35,7 @@
         for chunk in old_chunks.values():
             self.store.dirty_chunks.pop(chunk, None)
         self.store.chunks[team] = {}
+        self.store.chunks_with_room[team] = {}
         for key, (value, version) in stored_values.items():
             chunk = RecordChunk(team, int(key.rsplit("/", 1)[1]), version)
             self.store.chunks[team][chunk.index] = chunk
@@ -45,6 +46,7 @@
                     stored_attempts.add(allocation.attempt_id)
                     if allocation.finished:
                         self.store.dirty_chunks.setdefault(chunk, False)
+            self.store.update_room(chunk)
         self._remove_unstored(old_chunks, stored_attempts)
 
     def _job_of_record(
--- a/ploverhall/scheduling/store_writer.py
+++ b/ploverhall/scheduling/store_writer.py
@@ -250,7 +250,7 @@
         The transaction contains nothing else and precedes all other changes.
         """
         for team, index in sorted(self.chunks_to_fence):
-            chunk = self.store.chunks[team].setdefault(index, RecordChunk(team, index))
+            chunk = self.store.chunk_at(team, index)
             if txn.operation_count >= self.max_transaction_ops or (
                 txn.operation_count
                 and txn.size_bytes + chunk.size_bytes + MAX_CHUNK_OVERHEAD_BYTES
@@ -316,7 +316,7 @@
                     self.store.dirty_chunks.get(chunk, False) or not allocation.committed
                 )
         if not chunk.allocations and not chunk.version:
-            self.store.chunks[chunk.team].pop(chunk.index, None)
+            self.store.drop_chunk(chunk)
 
     def on_compare_failed(self, txn: PendingWrite, failed: list[str]) -> list[str]:
         """Handle failed conditions on keys; return the teams whose records must be read again."""
--- a/tests/test_permitting.py
+++ b/tests/test_permitting.py
@@ -202,11 +202,13 @@
         now = 1.0
 
         def settle(s: JobSource, now: float, rev: int) -> int:
-            s.decide(now)
-            while (txn := s.next_write()) is not None:
-                rev += 1
-                s.on_committed(txn, rev, now)
-            return rev
+            while True:
+                s.decide(now)
+                while (txn := s.next_write()) is not None:
+                    rev += 1
+                    s.on_committed(txn, rev, now)
+                if not s.is_unfinished:  # one decision issues a bounded number of permits
+                    return rev
 
         rev = settle(s, now, rev)
         s.take_owner_updates(3, now)
