Operators see in which step the event loop stalled

Change: `StepTimer` measures the steps that run without a pause. The new field `slow_step` is in a report only while there is one, so reports are otherwise unchanged.

--- a/ploverhall/controller/allocation_writer.py
+++ b/ploverhall/controller/allocation_writer.py
@@ -149,7 +149,8 @@
         """Commit the source's decisions, one transaction at a time, while the shard is held."""
         while not held.released:
             available = self.context.store.writes.available()
-            write = source.next_write(int(available - SUBMISSION_RESERVE))
+            with self.context.step_timer.measure("write planning"):
+                write = source.next_write(int(available - SUBMISSION_RESERVE))
             if write is None:
                 await self._wait_for_decisions(held)
                 continue
@@ -187,7 +188,8 @@
         for key, value in write.puts.items():
             if key.startswith(JOB_PREFIX):
                 self.context.store_cache.apply_own_write(key, value, revision)
-        source.on_committed(write, revision, now)
+        with self.context.step_timer.measure("write outcome"):
+            source.on_committed(write, revision, now)
 
     async def _on_compare_failed(
         self, held: HeldShard, source: JobSource, write: PendingWrite, failed: list[str]
--- a/ploverhall/controller/autoscaling_loop.py
+++ b/ploverhall/controller/autoscaling_loop.py
@@ -143,7 +143,8 @@
             if not order.finished
         ]
         await self._finish_orders(autoscaler, now)
-        plan = autoscaler.plan(now, self.context.wall_clock())
+        with self.context.step_timer.measure("autoscaling plan"):
+            plan = autoscaler.plan(now, self.context.wall_clock())
         if not self.pending:
             self.pending += [(autoscaler.next_request_id(), rental) for rental in plan.scale_out]
         for start in range(0, len(plan.scale_in), MAX_RETURNS_PER_REQUEST):
--- a/ploverhall/controller/context.py
+++ b/ploverhall/controller/context.py
@@ -11,6 +11,7 @@
 import anyio
 
 from ploverhall.autoscaling.autoscaler import Autoscaler
+from ploverhall.controller.step_timer import StepTimer
 from ploverhall.coordination.shard_map import ShardMap
 from ploverhall.coordination.state_channel import InboundChannels, OutboundChannels
 from ploverhall.protocol.cloud import MachineType
@@ -84,6 +85,7 @@
         # The newest revision at which a job was cancelled, as far as this controller knows
         self.cancelled_revision = 0
         self.scheduling_wake = anyio.Event()
+        self.step_timer = StepTimer(self.clock)
         self.started_at = self.clock()
         # End of the newest event-loop stall (seconds of `clock`), and its length in seconds
         self.stalled_at = NEVER
--- a/ploverhall/controller/controller.py
+++ b/ploverhall/controller/controller.py
@@ -42,6 +42,7 @@
 from ploverhall.controller.shard_roles import ShardRoles
 from ploverhall.controller.shard_status import ShardStatus
 from ploverhall.controller.status_report import StatusReport
+from ploverhall.controller.step_timer import MeasuredStep
 from ploverhall.controller.store_changes import StoreChanges
 from ploverhall.controller.store_reader import StoreReader
 from ploverhall.controller.store_watch import StoreWatch
@@ -384,8 +385,10 @@
         self.shard_roles.release(shard, "compare-and-swap failed")
         self.shard_claims.wake.set()
 
-    def _on_event_loop_stall(self, seconds: float, now: float) -> None:
+    def _on_event_loop_stall(
+        self, seconds: float, now: float, longest_step: MeasuredStep | None
+    ) -> None:
         """Notify the roles and the autoscaling loop of a stall, and request a fresh read."""
-        self.shard_roles.on_event_loop_stall(seconds, now)
+        self.shard_roles.on_event_loop_stall(seconds, now, longest_step)
         self.autoscaling_loop.on_event_loop_stall()
         self.store_watch.request_read()
--- a/ploverhall/controller/peer_links.py
+++ b/ploverhall/controller/peer_links.py
@@ -91,7 +91,8 @@
 
     def collect(self, controller: str, generation: int) -> list[Message]:
         """Return the messages to send to a peer on its connection number `generation`."""
-        messages = self.routing.collect(controller, generation)
+        with self.context.step_timer.measure("collecting peer messages"):
+            messages = self.routing.collect(controller, generation)
         now = self.context.clock()
         status_due = now - self.status_sent_at.get(controller, NEVER) > STATUS_INTERVAL_S
         if status_due:
@@ -137,6 +138,13 @@
 
     def deliver(self, controller: str, batch: list[Message]) -> None:
         """Pass a peer's messages to the components that handle them."""
+        with self.context.step_timer.measure("peer messages"):
+            channels_changed = self._deliver_all(controller, batch)
+        if channels_changed:
+            self.context.wake_scheduling()
+
+    def _deliver_all(self, controller: str, batch: list[Message]) -> bool:
+        """Handle a peer's messages; return whether any of them has changed a state channel."""
         channels_changed = False
         for message in batch:
             kind = message[0]
@@ -150,8 +158,7 @@
                 self.status_report.deliver(controller, message)
             elif self.routing.accept(message):
                 channels_changed = True
-        if channels_changed:
-            self.context.wake_scheduling()
+        return channels_changed
 
     def _receive_status(self, controller: str, value: Any) -> None:
         """Record a peer's status; release shards that it holds at a later epoch; update routes."""
--- a/ploverhall/controller/scheduling_loop.py
+++ b/ploverhall/controller/scheduling_loop.py
@@ -16,6 +16,7 @@
 from ploverhall.controller.context import ControllerContext, HeldShard
 from ploverhall.controller.peer_liveness import PeerLiveness
 from ploverhall.controller.routing import Routing
+from ploverhall.controller.step_timer import MeasuredStep
 from ploverhall.coordination import state_channel
 from ploverhall.protocol import peer_messages
 from ploverhall.scheduling.machines import Machine
@@ -43,7 +44,7 @@
         *,
         notify_peers: Callable[..., None],
         request_read: Callable[[], None],
-        on_stall: Callable[[float, float], None],
+        on_stall: Callable[[float, float, MeasuredStep | None], None],
         renewal_grant: Callable[[float], int],
         send_direct_command: Callable[[ShardOwner, Machine, dict[str, object]], None],
     ) -> None:
@@ -51,7 +52,8 @@
 
         `notify_peers`: called with the names of peers for which messages are queued;
         `request_read`: requests a fresh read of the store;
-        `on_stall`: called with the length of an event-loop stall in seconds, and the current time;
+        `on_stall`: called with the length of an event-loop stall in seconds, the current time, and
+        the longest step that was measured meanwhile;
         `renewal_grant`: returns the renewal grant for fencing tokens sent at the given time
         (`CancellationState.renewal_grant`);
         `send_direct_command`: sends a command to an agent without waiting for its heartbeat.
@@ -77,7 +79,8 @@
             last_step_at = now = await self._measure_lag(last_step_at)
             if now - self.periodic_update_at > PERIODIC_UPDATE_INTERVAL_S:
                 self.periodic_update_at = now
-                self._periodic_updates(now)
+                with self.context.step_timer.measure("periodic updates"):
+                    self._periodic_updates(now)
             if now > self.next_shortage_log_at:
                 self._log_shortages(now)
             await self._step_all()
@@ -106,9 +109,10 @@
         `last_step_at` is the time that the previous call returned, or the start of the loop.
         """
         now = self.context.clock()
+        longest_step = self.context.step_timer.take_longest()
         lag_s = now - last_step_at - IDLE_INTERVAL_S - STEP_INTERVAL_S
         if lag_s > STALL_THRESHOLD_S:
-            self.on_stall(lag_s, now)
+            self.on_stall(lag_s, now, longest_step)
             # Read queued messages first: heartbeats among them would be counted as missing
             await anyio.sleep(DRAIN_QUEUE_S)
             now = self.context.clock()
@@ -140,8 +144,9 @@
                     await anyio.lowlevel.checkpoint()
                     now = self.context.clock()
             local_messages = self.routing.collect(self.context.settings.name, 0)
-            for message in local_messages:
-                self.routing.accept(message)
+            with self.context.step_timer.measure("local messages"):
+                for message in local_messages:
+                    self.routing.accept(message)
             if not local_messages:
                 break
 
@@ -160,17 +165,26 @@
     def _step_owner(self, held: HeldShard, now: float) -> None:
         """Place candidates, send direct commands, and queue the owner's updates for sources."""
         owner = held.owner
-        owner.advance_time(now)
+        measure = self.context.step_timer.measure
+        with measure("lease sweep"):
+            owner.advance_time(now)
         owner.needs_step = False
         if owner.confirmation_needed:
             owner.confirmation_needed = False
             self.request_read()
-        owner.place_candidates(now)
+        with measure("placement"):
+            owner.place_candidates(now)
         if self.context.settings.options.direct:
             owner.renewal_grant = self.renewal_grant(now)
-            for machine, body in owner.direct_commands(now):
-                self.send_direct_command(owner, machine, body)
-        for (source_shard, key), value in owner.take_source_updates().items():
+            with measure("direct commands"):
+                for machine, body in owner.direct_commands(now):
+                    self.send_direct_command(owner, machine, body)
+        with measure("owner updates"):
+            self._queue_owner_updates(held)
+
+    def _queue_owner_updates(self, held: HeldShard) -> None:
+        """Queue a shard owner's updates for the sources."""
+        for (source_shard, key), value in held.owner.take_source_updates().items():
             channel = self.context.outbound.channel(
                 peer_messages.OWNER_TO_SOURCE, held.shard, source_shard, held.epoch
             )
@@ -178,15 +192,19 @@
 
     def _step_source(self, held: HeldShard, source: JobSource, now: float) -> None:
         """Decide on candidates and evictions, wake the writer, and queue updates for owners."""
-        source.decide(now)
-        source.grants.grant_evictions(now, self.context.wall_clock())
+        measure = self.context.step_timer.measure
+        with measure("permitting"):
+            source.decide(now)
+        with measure("evictions"):
+            source.grants.grant_evictions(now, self.context.wall_clock())
         if (
             source.store.dirty_chunks
             or source.store.jobs_to_end
             or source.grants.teams_with_unwritten_grants
         ):
             held.write_wake.set()
-        self.routing.update_owners(held, source, now)
+        with measure("source updates"):
+            self.routing.update_owners(held, source, now)
 
     def _periodic_updates(self, now: float) -> None:
         """Update routes, the write share and the autoscaler's channels."""
--- a/ploverhall/controller/shard_roles.py
+++ b/ploverhall/controller/shard_roles.py
@@ -12,6 +12,7 @@
 from ploverhall import log
 from ploverhall.controller.context import ControllerContext, HeldShard
 from ploverhall.controller.routing import Routing
+from ploverhall.controller.step_timer import MeasuredStep
 from ploverhall.protocol import peer_messages
 from ploverhall.protocol.jobs import Job
 from ploverhall.scheduling.shard_owner import ShardOwner
@@ -107,15 +108,22 @@
             if self.context.store_cache.holder(held.shard)[1] == held.epoch:
                 held.owner.epoch_confirmed_at = max(held.owner.epoch_confirmed_at, read_started_at)
 
-    def on_event_loop_stall(self, seconds: float, now: float) -> None:
+    def on_event_loop_stall(
+        self, seconds: float, now: float, longest_step: MeasuredStep | None = None
+    ) -> None:
         """Record an event-loop stall of `seconds` and notify the owners.
 
+        `longest_step` is the longest step that was measured meanwhile: if it is much shorter than
+        the stall, the process got no processor time.
+
         State from before the stall is stale, and messages that arrived during it are unread.
         """
         log.warn(
             "event loop stalled",
             seconds=round(seconds, 1),
             shards=",".join(map(str, self.context.held_shards)) or "-",
+            step=longest_step.name if longest_step is not None else "-",
+            step_s=round(longest_step.seconds, 1) if longest_step is not None else 0.0,
         )
         self.context.stalled_at = now
         self.context.stall_s = seconds
--- a/ploverhall/controller/shard_status.py
+++ b/ploverhall/controller/shard_status.py
@@ -53,6 +53,10 @@
         With a job, team or machine selected, the rows are those that concern it, including jobs and
         machines without a problem, and jobs are shown with their tasks.
         """
+        with self.context.step_timer.measure("status report"):
+            return self._report(selection)
+
+    def _report(self, selection: Selection | None) -> StatusFields:
         now = self.context.clock()
         report: StatusFields = {
             **self._controller_fields(now),
@@ -74,7 +78,7 @@
         """Return the fields that describe the controller itself."""
         context = self.context
         settings = context.settings
-        return {
+        fields: ControllerFields = {
             "node": settings.name,
             "zone": settings.zone,
             "shards": {str(held.shard): held.epoch for held in context.held_shards.values()},
@@ -93,6 +97,11 @@
                 for shard, silence_s in self.peer_liveness.without_heartbeats_s(now).items()
             },
         }
+        slowest = context.step_timer.slowest_since(now - RECENT_STALL_S)
+        if slowest is not None:
+            ago_s = round(now - slowest.ended_at, 1)
+            fields["slow_step"] = [ago_s, round(slowest.seconds, 2), slowest.name]
+        return fields
 
     def _recent_stall(self, now: float) -> list[float] | None:
         """Return how long ago the last event-loop stall ended and its length, both in seconds.
--- a/ploverhall/controller/status_fields.py
+++ b/ploverhall/controller/status_fields.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 from ploverhall.autoscaling.machine_maintenance import OrderProgress
 
@@ -90,6 +90,8 @@
     unheard: list[str]  # peers that are not alive as far as this controller knows
     stood_still: list[float] | None  # how long ago the event loop stalled, and for how long
     quiet_s: dict[str, float]  # by shard: time since the last heartbeat of any agent
+    # Only if a step was slow: how long ago the longest one ended, its length, and its name
+    slow_step: NotRequired[list[float | str]]
 
 
 class AutoscalerFields(TypedDict):
--- a/ploverhall/controller/store_changes.py
+++ b/ploverhall/controller/store_changes.py
@@ -49,12 +49,13 @@
 
     def on_store_changed(self) -> None:
         """Pass the changes of the store cache on to the other parts."""
-        now = self.context.clock()
-        self.cancellation_state.update_peers(now)
-        self._record_cancellations()
-        self._log_unreadable_jobs()
-        self.shard_roles.on_store_changed(now)
-        self.routing.update_routes()
+        with self.context.step_timer.measure("store changes"):
+            now = self.context.clock()
+            self.cancellation_state.update_peers(now)
+            self._record_cancellations()
+            self._log_unreadable_jobs()
+            self.shard_roles.on_store_changed(now)
+            self.routing.update_routes()
         self.shard_claims.wake.set()
         self.context.wake_scheduling()
 
--- a/ploverhall/status.py
+++ b/ploverhall/status.py
@@ -95,6 +95,12 @@
             f"controller {controller}: its event loop stalled for {stall_s:.0f} s,"
             f" {ago_s:.0f} s ago"
         )
+    if slow_step := report.get("slow_step"):
+        ago_s, step_s, step = slow_step
+        found["~slow"] = (
+            f"controller {controller}: one step of its event loop, {step}, took {step_s:.2f} s,"
+            f" {ago_s:.0f} s ago"
+        )
     for shard, silence_s in report["quiet_s"].items():
         if silence_s > MAX_AGENT_SILENCE_S:
             found[f"quiet {shard}"] = (
