Owners: large updates of a source are applied over several steps

Cause, the same class of fault (found with a probe, not seen by callers): a new owner applied a source's full sync in one step, and the end of an array stopped all of its attempts in one step on every controller.

Change: `SourceRequests` turns an update into operations, in the order in which they were applied before, and applies up to 4,000 of them in a step; later updates wait behind. A source counts as synced only when all of its full sync has been applied, since tasks without a known permit are killed from then on.

--- a/ploverhall/controller/shard_roles.py
+++ b/ploverhall/controller/shard_roles.py
@@ -174,7 +174,7 @@
     def _on_ended_job(self, job_id: str, now: float) -> None:
         """Report an ended job to every owner, and to each source that has the job."""
         for held in self.context.held_shards.values():
-            held.owner.job_ended(job_id)
+            held.owner.job_ended(job_id, now)
             source = held.source
             if source is None or job_id not in source.jobs:
                 continue
--- a/ploverhall/scheduling/permit_table.py
+++ b/ploverhall/scheduling/permit_table.py
@@ -209,14 +209,14 @@
 
     # -- stops and ends ----------------------------------------------------------------------
 
-    def stop_job(self, job_id: str) -> None:
-        """Stop every attempt of a job with a grace period of 0 seconds."""
-        for permit in self.permits_by_job.get(job_id, {}).values():
-            if permit.stop_grace_s != 0.0:
-                permit.stop_grace_s = 0.0
-                self.check_gone(permit)
-                self.state.attempt_changed(self.machines.get(permit.machine), permit.attempt_id)
-                self.changed_attempts.add(permit.attempt_id)
+    def stop(self, attempt_id: AttemptId) -> None:
+        """Stop an attempt of a job that has ended, with a grace period of 0 seconds."""
+        permit = self.permits.get(attempt_id)
+        if permit is not None and permit.stop_grace_s != 0.0:
+            permit.stop_grace_s = 0.0
+            self.check_gone(permit)
+            self.state.attempt_changed(self.machines.get(permit.machine), attempt_id)
+            self.changed_attempts.add(attempt_id)
 
     def expire_machine(self, machine: Machine) -> None:
         """Resolve the permits of a machine whose lease has expired.
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -105,12 +105,12 @@
         """
         self.source_requests.update(source_shard, full, changes, now)
 
-    def job_ended(self, job_id: str) -> None:
+    def job_ended(self, job_id: str, now: float) -> None:
         """Stop a job that has ended according to the key-value store.
 
         This works even while the job's source is unreachable.
         """
-        self.source_requests.end_job(job_id)
+        self.source_requests.end_job(job_id, now)
 
     # -- heartbeats --------------------------------------------------------------------------
 
@@ -311,7 +311,11 @@
         self.next_sweep_at = now + SWEEP_INTERVAL_S
 
     def advance_time(self, now: float) -> None:
-        """Expire reservations, and leases of unresponsive machines, that are over at `now`."""
+        """Expire reservations, and leases of unresponsive machines, that are over at `now`.
+
+        Applies the rest of large updates first.
+        """
+        self.source_requests.apply_pending(now)
         self.placement.reservations.expire(now)
         if now >= self.next_sweep_at:
             self.next_sweep_at = now + SWEEP_INTERVAL_S
@@ -395,8 +399,8 @@
 
     @property
     def has_unfinished_work(self) -> bool:
-        """Return whether the last call of `place_candidates` has left work for the next one."""
-        return self.placement.is_unfinished
+        """Return whether the last step has left work for the next one."""
+        return self.placement.is_unfinished or bool(self.source_requests.pending)
 
     # -- commands ----------------------------------------------------------------------------
 
--- a/ploverhall/scheduling/source_requests.py
+++ b/ploverhall/scheduling/source_requests.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections import deque
+from typing import Any, NamedTuple
 
 from ploverhall.protocol import peer_messages
 from ploverhall.protocol.jobs import Job, from_record
@@ -17,6 +18,27 @@
 from ploverhall.scheduling.placement import Placement
 from ploverhall.scheduling.shard_state import ShardState
 
+# Operations that one step applies: a source's full sync, or the end of a large array, has many
+MAX_OPERATIONS_PER_STEP = 4_000
+NO_SOURCE = -1  # source of an operation that a controller makes itself
+# Kinds of operations besides the published ones
+FORGET_JOB = "forget job"
+STOP = "stop"  # stops the attempt in `value`
+SYNCED = "synced"  # all that a full sync contains has been applied
+# The kinds in which sources publish changes; those of later releases are ignored
+PUBLISHED_KINDS = (peer_messages.JOB, peer_messages.PERMIT, peer_messages.CANDIDATE)
+# Permits claim their reservations before a lower candidate count would release them
+APPLICATION_ORDER = (*PUBLISHED_KINDS, FORGET_JOB, SYNCED)
+
+
+class Operation(NamedTuple):
+    """A change to be applied to the shard."""
+
+    kind: str
+    source_shard: int
+    key: str  # on the state channel
+    value: Any
+
 
 class SourceRequests:
     """Applies the changes on the sources' state channels to the shard."""
@@ -33,37 +55,64 @@
         self.placement = placement
         self.quarantine = quarantine
         self.known_keys: dict[int, set[str]] = {}  # by source shard: keys on its state channel
+        self.pending: deque[Operation] = deque()  # to be applied, in this order
 
     def update(self, source_shard: int, full: bool, changes: dict[str, Any], now: float) -> None:
         """Apply changes of a source's jobs, candidates and permits; a None value deletes the key.
 
-        If `full`, `changes` holds the complete state, and all other known keys are deleted.
+        If `full`, `changes` holds the complete state, and all other known keys are deleted. Of a
+        large update only the first part is applied at once; `apply_pending` goes on with it, and
+        later updates wait their turn.
         """
         known = self.known_keys.setdefault(source_shard, set())
         if full:
-            self.state.synced_sources.add(source_shard)
             changes = {**dict.fromkeys(sorted(known - changes.keys())), **changes}
         known.update(key for key, value in changes.items() if value is not None)
         known.difference_update(key for key, value in changes.items() if value is None)
-        by_kind: dict[str, list[tuple[str, Any]]] = {}
+        by_kind: dict[str, list[Operation]] = {kind: [] for kind in APPLICATION_ORDER}
         for key, value in changes.items():
-            by_kind.setdefault(key[0], []).append((key, value))
-        for key, value in by_kind.get(peer_messages.JOB, ()):
-            if value is not None:
-                self._update_job(key[1:], JobUpdate(*value))
-        # Permits claim their reservations before a lower candidate count would release them
-        for key, value in by_kind.get(peer_messages.PERMIT, ()):
-            attempt_id = peer_messages.attempt_id_of_key(key)
+            kind = FORGET_JOB if key[0] == peer_messages.JOB and value is None else key[0]
+            if key[0] in PUBLISHED_KINDS:
+                by_kind[kind].append(Operation(kind, source_shard, key, value))
+        if full:
+            by_kind[SYNCED].append(Operation(SYNCED, source_shard, "", None))
+        operations = [operation for of_kind in by_kind.values() for operation in of_kind]
+        self._enqueue(operations, now)
+
+    def _enqueue(self, operations: list[Operation], now: float) -> None:
+        """Queue operations, and apply the first ones unless earlier operations are waiting."""
+        others_wait = bool(self.pending)
+        self.pending.extend(operations)
+        if not others_wait:
+            self.apply_pending(now)
+        self.state.needs_step = True
+
+    def apply_pending(self, now: float) -> None:
+        """Apply the operations that wait, in order, up to the bound for one step."""
+        for _ in range(MAX_OPERATIONS_PER_STEP):
+            if not self.pending:
+                break
+            self._apply(self.pending.popleft(), now)
+
+    def _apply(self, operation: Operation, now: float) -> None:
+        kind, source_shard, key, value = operation
+        if kind == peer_messages.JOB:
+            self._update_job(key[1:], JobUpdate(*value), now)
+        elif kind == FORGET_JOB:
+            self._forget_job(key[1:])
+        elif kind == peer_messages.PERMIT:
             update = PermitUpdate(*value) if value is not None else None
+            attempt_id = peer_messages.attempt_id_of_key(key)
             self.permit_table.update(attempt_id, source_shard, update, now)
-        for key, value in by_kind.get(peer_messages.CANDIDATE, ()):
+        elif kind == peer_messages.CANDIDATE:
             self._update_candidates(
                 key[1:], source_shard, CandidateUpdate(*value) if value is not None else None
             )
-        for key, value in by_kind.get(peer_messages.JOB, ()):
-            if value is None:
-                self._forget_job(key[1:])
-        self.state.needs_step = True
+        elif kind == STOP:
+            self.permit_table.stop(value)
+        elif kind == SYNCED:
+            # Only now are all permits of the source known
+            self.state.synced_sources.add(source_shard)
 
     def _update_candidates(
         self, job_id: str, source_shard: int, update: CandidateUpdate | None
@@ -75,12 +124,12 @@
         traits = self.state.inventory.job_traits[job_id]
         self.placement.request(source_shard, job, update, traits.within_guarantee)
 
-    def _update_job(self, job_id: str, update: JobUpdate) -> None:
+    def _update_job(self, job_id: str, update: JobUpdate, now: float) -> None:
         resources = update.resources
         self.state.resources_by_job[job_id] = (resources[0], resources[1], resources[2])
         if update.record is None:
             self.state.jobs.pop(job_id, None)
-            self.end_job(job_id)
+            self.end_job(job_id, now)
             return
         if job_id not in self.state.jobs:
             self.state.jobs[job_id] = from_record(update.record)
@@ -99,10 +148,14 @@
         self.permit_table.job_traits_changed(job_id)
         self.placement.cancel(job_id)
 
-    def end_job(self, job_id: str) -> None:
-        """Stop a job that has ended in the key-value store, even if its source is unreachable."""
-        self.permit_table.stop_job(job_id)
+    def end_job(self, job_id: str, now: float) -> None:
+        """Stop a job that has ended in the key-value store, even if its source is unreachable.
+
+        Of many attempts only the first ones are stopped at once.
+        """
         self.placement.cancel(job_id)
+        attempts = self.permit_table.permits_by_job.get(job_id, ())
+        self._enqueue([Operation(STOP, NO_SOURCE, "", attempt_id) for attempt_id in attempts], now)
 
 
 def _job_traits(job: Job, update: JobUpdate, old: JobTraits | None) -> JobTraits:
--- a/tests/simulation/model_controller.py
+++ b/tests/simulation/model_controller.py
@@ -187,7 +187,7 @@
                 if self.model.layout.team_shard[job.team] == held.shard:
                     held.source.on_job(job, job_id, version, now)
             else:
-                held.owner.job_ended(job_id)
+                held.owner.job_ended(job_id, now)
                 if job_id in held.source.jobs and held.source.jobs[job_id].job is not None:
                     held.source.on_job(None, job_id, 0, now)
 
