Owners: heartbeats that arrive together are followed up over several steps

Cause, the same class of fault (found with a probe, not seen by callers): after a failover or a stall the heartbeats of all machines arrive at once; one step then read every changed attempt of every machine and sent its update.

Change: one step refreshes machines with up to 5,000 changed attempts; the others leave the indexes until their turn, since their free capacity is not known. One step sends the updates of up to 4,000 attempts, the first changed first.

--- a/ploverhall/scheduling/inventory.py
+++ b/ploverhall/scheduling/inventory.py
@@ -38,6 +38,8 @@
 # Once one machine was found in a bucket, the search there ends after this many tries for each
 # machine wanted
 TRIES_PER_MACHINE = 4
+# Machines and changed attempts that one call of `refresh_changed` reads
+MAX_REFRESH_WORK = 5_000
 
 
 class Inventory:
@@ -69,6 +71,7 @@
         # Images recorded by an earlier owner, for machines not known yet
         self.remembered_images: dict[str, dict[str, float]] = {}
         self.images_changed = False
+        self.is_refresh_unfinished = False  # changed machines were left for the next step
         # Numbers of refreshes and of checks for a fit; tests of how the cost scales read them
         self.refresh_count = self.fit_checks = 0
 
@@ -227,12 +230,29 @@
                 del self.image_holders[image]
 
     def refresh_changed(self, now: float) -> list[Machine]:
-        """Refresh every machine that was marked as changed, and return these machines."""
+        """Refresh the machines that were marked as changed, and return those that were refreshed.
+
+        If too many attempts have changed for one step, the rest of the machines stays marked. They
+        leave the indexes meanwhile, since their free capacity is not known.
+        """
         changed, self.changed_machines = list(self.changed_machines.values()), {}
-        for machine in changed:
+        work = 0
+        for position, machine in enumerate(changed):
+            if work >= MAX_REFRESH_WORK:
+                self._postpone(changed[position:])
+                return changed[:position]
+            work += 1 + _refresh_work(machine)
             self.refresh(machine, now)
         return changed
 
+    def _postpone(self, machines: list[Machine]) -> None:
+        """Leave changed machines to the next call of `refresh_changed`."""
+        for machine in machines:
+            self._unindex(machine)
+            self.preemption_index.remove(machine)
+        self.changed_machines = {machine.name: machine for machine in machines}
+        self.is_refresh_unfinished = True
+
     def remove(self, machine: Machine) -> None:
         """Remove a machine from the inventory and all its indexes."""
         self._unindex(machine)
@@ -373,3 +393,11 @@
                 count += 1
             if count >= sample or (count and offset >= TRIES_PER_MACHINE * sample):
                 return
+
+
+def _refresh_work(machine: Machine) -> int:
+    """Return the number of attempts that the next refresh of a machine reads."""
+    usage = machine.usage
+    if usage.must_rebuild:
+        return len(machine.permits) + len(machine.tasks) + len(machine.reservations)
+    return len(usage.changed_attempts) + len(usage.unknown_attempts)
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -40,6 +40,8 @@
 # Unanswered commands in a row after which LONG_COMMAND_RETRY_S applies. The machine still receives
 # its commands in the answers to its heartbeats.
 UNANSWERED_BEFORE_LONG_RETRY = 8
+# Attempts whose updates one step sends to the sources
+MAX_ATTEMPT_UPDATES_PER_STEP = 4_000
 SWEEP_INTERVAL_S = 0.25  # between checks of time-based state (leases, quarantines, backoffs)
 # Heartbeat intervals: a heartbeat that comes after a longer gap marks its machine as changed
 UNRESPONSIVE_INTERVALS = 2.0
@@ -227,7 +229,7 @@
         if not same_tasks:
             self._update_tasks(machine, heartbeat, now)
         elif heartbeat.termination_notice_s is not None:
-            self.changed_attempts.update(
+            self.changed_attempts.add_all(
                 attempt_id for attempt_id in machine.tasks if attempt_id in machine.permits
             )
         if not direct and machine.runs_in_answer:
@@ -366,7 +368,7 @@
             machine = self.machines.get(name)
             if machine is not None:
                 machine.cordoned = name in cordoned
-                self.changed_attempts.update(machine.permits)
+                self.changed_attempts.add_all(machine.permits)
                 self.mark_changed(machine)
         self.cordoned_machines = cordoned
 
@@ -387,6 +389,7 @@
 
     def place_candidates(self, now: float) -> None:
         """Reserve capacity for every candidate that fits; the others stay in the queue."""
+        self.inventory.is_refresh_unfinished = False
         for machine in self.inventory.refresh_changed(now):
             self.changed_for_autoscaler[machine.name] = machine
             if machine.reservations and self.inventory.unusable(machine, now):
@@ -400,7 +403,12 @@
     @property
     def has_unfinished_work(self) -> bool:
         """Return whether the last step has left work for the next one."""
-        return self.placement.is_unfinished or bool(self.source_requests.pending)
+        return (
+            self.placement.is_unfinished
+            or self.inventory.is_refresh_unfinished
+            or bool(self.source_requests.pending)
+            or len(self.changed_attempts) >= MAX_ATTEMPT_UPDATES_PER_STEP
+        )
 
     # -- commands ----------------------------------------------------------------------------
 
@@ -453,12 +461,14 @@
         return shard_updates.attempt_update(permit, self.machines.get(permit.machine))
 
     def take_source_updates(self) -> dict[tuple[int, str], Any]:
-        """Return and clear the pending updates for sources: (source shard, key) -> value."""
-        for attempt_id in sorted(self.changed_attempts):
+        """Return and clear the pending updates for sources: (source shard, key) -> value.
+
+        If very many attempts have changed, the updates of some are left for the next call.
+        """
+        for attempt_id in sorted(self.changed_attempts.take(MAX_ATTEMPT_UPDATES_PER_STEP)):
             if (permit := self.permits.get(attempt_id)) is not None:
                 key = (permit.source_shard, peer_messages.attempt_key(attempt_id))
                 self.source_updates[key] = self.attempt_update(permit)
-        self.changed_attempts.clear()
         updates = dict(self.source_updates)
         self.source_updates.clear()
         return updates
--- a/ploverhall/scheduling/shard_state.py
+++ b/ploverhall/scheduling/shard_state.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from itertools import islice
 
 from ploverhall.coordination import fencing_tokens
 from ploverhall.protocol.agents import AttemptId
@@ -17,6 +18,40 @@
 from ploverhall.scheduling.resources import ResourceVector
 
 
+class AttemptSet:
+    """A set of attempts that keeps the order in which they were added."""
+
+    def __init__(self) -> None:
+        self._attempts: dict[AttemptId, None] = {}
+
+    def __len__(self) -> int:
+        """Return the number of attempts."""
+        return len(self._attempts)
+
+    def __contains__(self, attempt_id: AttemptId) -> bool:
+        """Return whether an attempt is in the set."""
+        return attempt_id in self._attempts
+
+    def add(self, attempt_id: AttemptId) -> None:
+        """Add an attempt."""
+        self._attempts[attempt_id] = None
+
+    def add_all(self, attempt_ids: Iterable[AttemptId]) -> None:
+        """Add several attempts."""
+        self._attempts.update(dict.fromkeys(attempt_ids))
+
+    def discard(self, attempt_id: AttemptId) -> None:
+        """Remove an attempt, if it is there."""
+        self._attempts.pop(attempt_id, None)
+
+    def take(self, max_count: int) -> list[AttemptId]:
+        """Remove and return the first attempts, at most `max_count`."""
+        taken = list(islice(self._attempts, max_count))
+        for attempt_id in taken:
+            del self._attempts[attempt_id]
+        return taken
+
+
 class ShardState:
     """The state of one shard under one epoch; durations and times in seconds."""
 
@@ -50,7 +85,7 @@
         self.resources_by_job: dict[str, ResourceVector] = {}
         self.synced_sources: set[int] = set()
         # Attempts with a pending update for their sources
-        self.changed_attempts: set[AttemptId] = set()
+        self.changed_attempts = AttemptSet()
         # Machines that may need a direct command
         self.machines_needing_commands: dict[str, Machine] = {}
         # Machines with a pending update for the autoscaler; None: the machine has been removed
