--- a/ploverhall/controller/allocation_writer.py
+++ b/ploverhall/controller/allocation_writer.py
@@ -91,7 +91,10 @@
             now = self.context.clock()
             self._add_live_jobs(held, source, now)
             for team_name, stored_team in stored.items():
-                source.record_loader.install_allocations(team_name, stored_team.allocations, now)
+                await self._install_allocations(source, team_name, stored_team, now)
+            # Nothing is awaited from here on: jobs may have arrived or ended meanwhile
+            self._add_live_jobs(held, source, now)
+            for team_name, stored_team in stored.items():
                 source.record_loader.install_progress(team_name, stored_team.progress)
                 source.grants.install_grants(team_name, *stored_team.eviction_grants)
             self._publish_source(held, source, now)
@@ -125,10 +128,28 @@
             eviction_grants=await self.reader.read_key(grants_key(team_name)),
         )
 
+    async def _install_allocations(
+        self, source: JobSource, team_name: str, stored_team: StoredTeam, now: float
+    ) -> None:
+        """Install a team's stored allocations; other tasks get a turn between its chunks."""
+        loader = source.record_loader
+        for _ in loader.install_in_steps(team_name, stored_team.allocations, now):
+            await anyio.lowlevel.checkpoint()
+
     def _add_live_jobs(self, held: HeldShard, source: JobSource, now: float) -> None:
-        """Add the live jobs of the shard's teams to the source, with their age since submission."""
+        """Add the live jobs of the shard's teams to the source, with their age since submission.
+
+        Ends the jobs that were added by an earlier call and have ended since.
+        """
         team_shard = self.context.shard_map.team_shard
-        for job_id, (job, version) in self.context.store_cache.live_jobs.items():
+        live_jobs = self.context.store_cache.live_jobs
+        for job_id, job_state in list(source.jobs.items()):
+            if job_state.job is not None and job_id not in live_jobs:
+                source.on_job(None, job_id, 0, now)
+        for job_id, (job, version) in live_jobs.items():
+            known = source.jobs.get(job_id)
+            if known is not None and known.job is not None and known.version == version:
+                continue
             if team_shard.get(job.team) == held.shard:
                 age_s = max(0.0, self.context.wall_clock() - job.submitted_at)
                 source.on_job(job, job_id, version, now, age_s)
--- a/ploverhall/scheduling/record_loader.py
+++ b/ploverhall/scheduling/record_loader.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterator
 from typing import Any
 
 from ploverhall.protocol.agents import AttemptId
@@ -15,6 +16,8 @@
 from ploverhall.scheduling.record_chunks import Allocation, RecordChunk
 from ploverhall.storage.schema import progress_prefix
 
+MAX_RECORDS_PER_STEP = 2_000  # allocations that are installed in one step
+
 
 class RecordLoader:
     """Updates the jobs and allocations of a source to match the key-value store."""
@@ -27,9 +30,20 @@
     ) -> None:
         """Replace a team's chunks by those read from the store, given as key -> (value, version).
 
-        Called when a source starts, and whenever the outcome of a write is unknown or its
-        conditions failed. Allocations that are not stored are removed.
+        Called whenever the outcome of a write is unknown or its conditions failed. Allocations that
+        are not stored are removed.
+        """
+        for _ in self.install_in_steps(team, stored_values, now):
+            pass
+
+    def install_in_steps(
+        self, team: str, stored_values: dict[str, tuple[Any, int]], now: float
+    ) -> Iterator[None]:
+        """Install a team's chunks as `install_allocations` does; yield after every few thousand.
+
+        Called when a source starts, which decides nothing before all chunks are installed.
         """
+        installed_count = 0  # since the last step
         stored_attempts: set[AttemptId] = set()
         old_chunks = self.store.chunks[team]
         for chunk in old_chunks.values():
@@ -47,6 +61,10 @@
                     if allocation.finished:
                         self.store.dirty_chunks.setdefault(chunk, False)
             self.store.update_room(chunk)
+            installed_count += len(chunk.allocations)
+            if installed_count >= MAX_RECORDS_PER_STEP:
+                installed_count = 0
+                yield
         self._remove_unstored(old_chunks, stored_attempts)
 
     def _job_of_record(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -176,7 +176,7 @@
 
 def skip_loading_allocations() -> Any:
     """Remove the guard that a new source reads the allocations whose tasks may run somewhere."""
-    return RecordLoader, "install_allocations", lambda self, team, found, now: None
+    return RecordLoader, "install_in_steps", lambda self, team, found, now: iter(())
 
 
 def answer_no_heartbeat_before_claim() -> Any:
@@ -292,7 +292,7 @@
         real(self, shard, epoch)
         owner = self.context.held_shards[shard].owner
         owner.job_ended_in_store = lambda jid: False
-        owner.source_requests.end_job = lambda jid: None  # type: ignore[method-assign]
+        owner.source_requests.end_job = lambda jid, now: None  # type: ignore[method-assign]
 
     return ShardRoles, "acquire", acquire_without_end_checks
 
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -37,11 +38,11 @@
 
 def load_ended_jobs_without_size(monkeypatch: pytest.MonkeyPatch) -> None:
     """Remove the guard: a new source does not know the size of an ended job's tasks."""
-    real = RecordLoader.install_allocations
+    real = RecordLoader.install_in_steps
 
     def install_without_sizes(
         self: RecordLoader, team: str, found: dict[str, Any], now: float
-    ) -> None:
+    ) -> Iterator[None]:
         small = {
             key: (
                 {
@@ -52,9 +53,9 @@
             )
             for key, (value, version) in found.items()
         }
-        real(self, team, small, now)
+        return real(self, team, small, now)
 
-    monkeypatch.setattr(RecordLoader, "install_allocations", install_without_sizes)
+    monkeypatch.setattr(RecordLoader, "install_in_steps", install_without_sizes)
 
 
 @pytest.mark.parametrize(
