Scheduling: owners' changes and the job history have modules of their own

Handling of owners' offers and states moves to `owner_changes`, the records for the status pages to `job_history`, the count of pending visits to `machine_usage`; `RESERVE_PATIENCE_S` is `MAX_RESERVE_WAIT_S`.

--- a/ploverhall/controller/allocation_writer.py
+++ b/ploverhall/controller/allocation_writer.py
@@ -31,9 +31,9 @@
 )
 
 # A write leaves one change of the write allowance to the next submission, unless the write has
-# already waited for RESERVE_PATIENCE_S
+# already waited for MAX_RESERVE_WAIT_S
 SUBMISSION_RESERVE = 1.0
-RESERVE_PATIENCE_S = 0.5
+MAX_RESERVE_WAIT_S = 0.5
 FRESH_READ_RETRY_S = 0.2
 IDLE_WRITE_INTERVAL_S = 0.5  # longest wait before the source is polled for writes again
 # Pause after a refused write: random, from this value up to twice as long
@@ -181,7 +181,7 @@
                     write.puts,
                     write.deletes,
                     reserve=SUBMISSION_RESERVE,
-                    max_wait_s=RESERVE_PATIENCE_S,
+                    max_wait_s=MAX_RESERVE_WAIT_S,
                 )
             except RequestRefusedError:
                 jitter = self.context.random.random()
--- a/ploverhall/scheduling/allocations.py
+++ b/ploverhall/scheduling/allocations.py
@@ -12,11 +12,11 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 from ploverhall.protocol import peer_messages
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peer_messages import PermitUpdate
+from ploverhall.scheduling.job_history import EndedJobEntry, FailedAttempt
 from ploverhall.scheduling.job_state import JobState
 from ploverhall.scheduling.objectives import Objectives
 from ploverhall.scheduling.pending_write import MAX_TRANSACTION_BYTES
@@ -46,29 +46,6 @@
 WORK_AVERAGE_WEIGHT = 0.2  # weight of the newest array in the average of its class
 
 
-class FailedAttempt(NamedTuple):
-    """An attempt that ended without completing its task."""
-
-    at: float
-    job_id: str
-    task: int
-    machine: str
-    reason: str
-
-
-class EndedJobEntry(NamedTuple):
-    """A job that has ended, as shown on the status pages."""
-
-    at: float
-    job_id: str
-    team: str
-    outcome: str
-    tasks_done: int
-    task_count: int
-    failure_count: int
-    last_failure: str
-
-
 class AllocationStore:
     """The jobs of one shard's teams, and the allocations of all attempts that may be on a machine.
 
--- a/ploverhall/scheduling/attempt_updates.py
+++ b/ploverhall/scheduling/attempt_updates.py
@@ -8,9 +8,10 @@
 import heapq
 
 from ploverhall.protocol.peer_messages import NOTICE_EVICTION_REQUESTED, AttemptUpdate
-from ploverhall.scheduling.allocations import AllocationStore, FailedAttempt
+from ploverhall.scheduling.allocations import AllocationStore
 from ploverhall.scheduling.eviction_grants import EvictionGrants
 from ploverhall.scheduling.failure_attribution import FAILURE_REASONS, JobFailureTracker
+from ploverhall.scheduling.job_history import FailedAttempt
 from ploverhall.scheduling.job_state import (
     HEALTHY_RUN_S,
     JobState,
--- a/ploverhall/scheduling/inventory.py
+++ b/ploverhall/scheduling/inventory.py
@@ -13,7 +13,7 @@
 from ploverhall.protocol.agents import MAX_LISTED_TASKS, AttemptId
 from ploverhall.protocol.cloud import MachineType
 from ploverhall.protocol.jobs import Job
-from ploverhall.scheduling.machine_usage import UsageTracker
+from ploverhall.scheduling.machine_usage import UsageTracker, pending_visits
 from ploverhall.scheduling.machines import (
     JobTraits,
     Machine,
@@ -241,7 +241,7 @@
             if work >= MAX_REFRESH_WORK:
                 self._postpone(changed[position:])
                 return changed[:position]
-            work += 1 + _refresh_work(machine)
+            work += 1 + pending_visits(machine)
             self.refresh(machine, now)
         return changed
 
@@ -393,11 +393,3 @@
                 count += 1
             if count >= sample or (count and offset >= TRIES_PER_MACHINE * sample):
                 return
-
-
-def _refresh_work(machine: Machine) -> int:
-    """Return the number of attempts that the next refresh of a machine reads."""
-    usage = machine.usage
-    if usage.must_rebuild:
-        return len(machine.permits) + len(machine.tasks) + len(machine.reservations)
-    return len(usage.changed_attempts) + len(usage.unknown_attempts)
--- a/ploverhall/scheduling/machine_usage.py
+++ b/ploverhall/scheduling/machine_usage.py
@@ -140,6 +140,14 @@
         )
 
 
+def pending_visits(machine: Machine) -> int:
+    """Return the number of attempts and reservations that the next update of a machine reads."""
+    usage = machine.usage
+    if usage.must_rebuild:
+        return len(machine.permits) + len(machine.tasks) + len(machine.reservations)
+    return len(usage.changed_attempts) + len(usage.unknown_attempts)
+
+
 def _preemption_class(
     permit: Permit, task: TaskStatus | None, traits: JobTraits | None
 ) -> PreemptionClass | None:
--- a/ploverhall/scheduling/permitting.py
+++ b/ploverhall/scheduling/permitting.py
@@ -12,22 +12,17 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
-from ploverhall.protocol import peer_messages
 from ploverhall.protocol.jobs import Job
-from ploverhall.protocol.peer_messages import (
-    AttemptUpdate,
-    OfferUpdate,
-)
 from ploverhall.scheduling.allocations import OVERDUE_START_S, AllocationStore
 from ploverhall.scheduling.attempt_updates import AttemptUpdates
 from ploverhall.scheduling.eviction_grants import EvictionGrants
 from ploverhall.scheduling.failure_attribution import JobFailureTracker
 from ploverhall.scheduling.gangs import pick_gang_offers
 from ploverhall.scheduling.job_state import JobState, Offer
+from ploverhall.scheduling.owner_changes import OwnerChanges
 from ploverhall.scheduling.pending_write import PendingWrite
 from ploverhall.scheduling.quota import TeamQuotas
 from ploverhall.scheduling.record_chunks import (
@@ -49,8 +44,6 @@
 MAX_IMMEDIATE_COST = 1.0  # an offer up to this cost is accepted at once
 TEAM_CHECK_INTERVAL_S = 0.2  # between checks of teams' waiting jobs against their limits
 SERVICE_CHECK_INTERVAL_S = 0.5  # between checks for replicas that wait for their team's limit
-# Changes of owners that one step handles: a full sync has one for each attempt
-MAX_CHANGES_PER_STEP = 4_000
 # Permits that one call of `decide` issues before the remaining jobs wait for the next call
 MAX_PERMITS_PER_DECISION = 1_024
 # While so many permits are unwritten, an array gets a permit only if none of its own is unwritten,
@@ -60,22 +53,13 @@
 REVISIT_INTERVAL_S = 1.0  # between decisions on all jobs with offers, changed or not
 
 
-class OwnerChange(NamedTuple):
-    """A change on the state channel of a shard owner."""
-
-    shard: int
-    epoch: int
-    key: str
-    value: Any
-
-
 class JobSource:
     """Permits the tasks of one shard's teams.
 
     Its components are the jobs and allocations (`store`), the loader of stored records
     (`record_loader`), the planner of transactions (`writer`), the eviction grants (`grants`), the
-    teams' limits (`quotas`), the handler of attempt states (`attempt_updates`), the failure counts
-    (`failures`), the updates to be sent (`source_updates`) and the demand for machines
+    teams' limits (`quotas`), the handlers of owners' changes (`owner_changes`) and of attempt states
+    (`attempt_updates`), the failure counts (`failures`), the updates to be sent (`source_updates`) and the demand for machines
     (`unmet_demand`). `max_value_bytes` and `max_transaction_ops` are limits of the key-value store.
     """
 
@@ -96,9 +80,9 @@
         self.failures = JobFailureTracker(self.store)
         self.unmet_demand = UnmetDemand(self.store, self.quotas)
         self.attempt_updates = AttemptUpdates(self.store, self.failures, self.grants)
+        self.owner_changes = OwnerChanges(self.store, self.attempt_updates)
         self.record_loader = RecordLoader(self.store)
         self.source_updates = SourceUpdates(self.store, self.quotas)
-        self.pending_changes: deque[OwnerChange] = deque()  # to be handled, in this order
         self.attempt_count = 0  # attempt numbers that this source has assigned
         self.holding_back_offers = False  # costlier offers wait for better ones
         self.is_unfinished = False  # the last call of `decide` has left jobs for the next one
@@ -145,79 +129,19 @@
         a large update only the first part is handled at once; `decide` goes on with it, and later
         updates wait their turn.
         """
-        others_wait = bool(self.pending_changes)
-        if full:
-            self.pending_changes.extend(
-                OwnerChange(shard, epoch, peer_messages.offer_key(offer_id[1]), None)
-                for offer_id in self.store.job_by_offer
-                if offer_id[0] == shard and peer_messages.offer_key(offer_id[1]) not in changes
-            )
-        self.pending_changes.extend(
-            OwnerChange(shard, epoch, key, value) for key, value in changes.items()
-        )
-        if not others_wait:
-            self._apply_pending_changes(now)
-
-    def _apply_pending_changes(self, now: float) -> None:
-        """Handle the changes that wait, in order, up to the bound for one step."""
-        for _ in range(min(len(self.pending_changes), MAX_CHANGES_PER_STEP)):
-            self._apply_change(self.pending_changes.popleft(), now)
-
-    def _apply_change(self, change: OwnerChange, now: float) -> None:
-        shard, epoch, key, value = change
-        if key[0] == peer_messages.OFFER:
-            update = OfferUpdate(*value) if value is not None else None
-            self._update_offer(shard, epoch, int(key[1:]), update)
-        elif key[0] == peer_messages.ATTEMPT and value is not None:
-            attempt_id = peer_messages.attempt_id_of_key(key)
-            job_state = self.store.jobs.get(attempt_id.job_id)
-            allocation = (
-                job_state.allocations.get(attempt_id.task) if job_state is not None else None
-            )
-            if (
-                job_state is not None
-                and allocation is not None
-                and allocation.attempt == attempt_id.attempt
-                and allocation.shard == shard
-                and allocation.committed
-                and epoch >= allocation.epoch
-            ):
-                self.attempt_updates.update(job_state, allocation, AttemptUpdate(*value), now)
-
-    def _update_offer(
-        self, shard: int, epoch: int, reservation_id: int, update: OfferUpdate | None
-    ) -> None:
-        self.store.drop_offer((shard, reservation_id))
-        job_state = self.store.jobs.get(update.job) if update is not None else None
-        if (
-            update is not None
-            and job_state is not None
-            and job_state.job is not None
-            and (shard, epoch, reservation_id) not in job_state.used_reservations
-        ):
-            job_state.offers[shard, reservation_id] = Offer(
-                shard,
-                epoch,
-                reservation_id,
-                update.machine,
-                update.zone,
-                update.cost,
-                update.victim_count,
-            )
-            self.store.job_by_offer[shard, reservation_id] = job_state.id
-            self.store.jobs_to_decide.add(job_state.id)
+        self.owner_changes.update(shard, epoch, full, changes, now)
 
     # -- deciding ----------------------------------------------------------------------------
 
     def decide(self, now: float) -> None:
         """Permit tasks in memory; permits are sent to shard owners once they have been written."""
-        self._apply_pending_changes(now)
+        self.owner_changes.apply_pending(now)
         self._run_timers(now)
         if self.store.teams_with_stale_guarantees:
             self.quotas.update_guarantees()
         self.store.stop_attempts_of_ended_jobs()
         self.holding_back_offers = False
-        self.is_unfinished = bool(self.store.attempts_to_stop or self.pending_changes)
+        self.is_unfinished = bool(self.store.attempts_to_stop or self.owner_changes.pending)
         if not self.store.jobs_to_decide:
             return
         jobs_to_decide, self.store.jobs_to_decide = self.store.jobs_to_decide, set()
--- a/tests/test_small_tasks_source.py
+++ b/tests/test_small_tasks_source.py
@@ -17,8 +17,8 @@
     candidate_key,
 )
 from ploverhall.scheduling.allocations import MAX_STOPS_PER_STEP
+from ploverhall.scheduling.owner_changes import MAX_CHANGES_PER_STEP
 from ploverhall.scheduling.permitting import (
-    MAX_CHANGES_PER_STEP,
     MAX_PERMITS_PER_DECISION,
     MAX_UNCOMMITTED_PERMITS,
     JobSource,
