Placement: passes that go on with one another share their preemption searches

Cause, found by reading the bounded pass again: each pass that went on with an unfinished one had 24 preemption searches of its own, so a queue that the first pass could not finish was searched more often than before in each 0.25 s.

Change: the searches that are left over go to the next pass. The bound on the work of searches has a test.

--- a/ploverhall/scheduling/placement.py
+++ b/ploverhall/scheduling/placement.py
@@ -15,6 +15,7 @@
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peer_messages import CandidateUpdate
 from ploverhall.scheduling.free_capacity import (
+    MAX_PREEMPTION_SEARCHES,
     QUEUE_ENTRY_WORK,
     FreeCapacity,
     PlacementPass,
@@ -54,7 +55,8 @@
         self.resume_at: QueueEntry | None = None
         self.jobs_to_revisit: deque[str] = deque()
         self.is_unfinished = False  # the previous pass has left work over for the next one
-        self.preemption_due = False  # that pass was one in which waiting candidates may preempt
+        # Searches that a pass in which waiting candidates may preempt has left to the next one
+        self.searches_left_over = 0
 
     def request(
         self, source_shard: int, job: Job, update: CandidateUpdate, within_guarantee: bool
@@ -77,22 +79,26 @@
         pass is bounded in its work; if it ends early, the next one goes on behind its last job.
         """
         inventory, queue = self.inventory, self.reservations.queue
-        preempt = self.preemption_due or now >= self.next_preemption_at
+        preempt = self.searches_left_over > 0 or now >= self.next_preemption_at
         nothing_changed = not (queue.new_jobs or inventory.machines_with_gains or preempt)
         self.is_unfinished = False
         if (nothing_changed or not queue.entries) and not self.jobs_to_revisit:
             inventory.machines_with_gains.clear()
             return
+        searches_left = self.searches_left_over or MAX_PREEMPTION_SEARCHES
         if now >= self.next_preemption_at:
             self.next_preemption_at = now + PREEMPTION_INTERVAL_S
+            searches_left = MAX_PREEMPTION_SEARCHES
         if now >= self.next_revisit_at:
             self.next_revisit_at = now + REVISIT_INTERVAL_S
             self._begin_revisit(now)
         self._revisit_jobs()
-        current = PlacementPass(now, preempt, inventory.machines_with_gains)
+        current = PlacementPass(now, preempt, inventory.machines_with_gains, searches_left)
         inventory.machines_with_gains = {}
         self._visit_queue(current)
-        self.preemption_due = current.preempt and current.work_exhausted
+        self.searches_left_over = (
+            max(0, current.searches_left) if current.preempt and current.work_exhausted else 0
+        )
         self.is_unfinished = current.work_exhausted or bool(self.jobs_to_revisit)
         if current.work_exhausted:
             inventory.machines_with_gains = {**current.gained, **inventory.machines_with_gains}
--- a/tests/test_small_tasks.py
+++ b/tests/test_small_tasks.py
@@ -17,9 +17,11 @@
 from ploverhall.protocol.agents import AttemptId, TaskStatus
 from ploverhall.protocol.jobs import Job
 from ploverhall.protocol.peer_messages import CandidateUpdate
+from ploverhall.scheduling.free_capacity import MAX_PASS_WORK
 from ploverhall.scheduling.inventory import Inventory
 from ploverhall.scheduling.machines import JobTraits, Machine, Permit
 from ploverhall.scheduling.placement import Placement
+from ploverhall.scheduling.preemption import MAX_SEARCH_WORK
 from ploverhall.scheduling.shard_owner import TOKEN_BITS
 from ploverhall.scheduling.shard_updates import machine_update
 
@@ -329,3 +331,36 @@
     slots.add(pool, MACHINE_TYPE.resources, 1)
     small = (SMALL_CPUS, 0.0, SMALL_MEMORY_GB)
     assert slots.pack(small, 2_000, pool) == agents.MAX_LISTED_TASKS
+
+
+# -- preemption --------------------------------------------------------------------------------
+
+
+def test_searches_for_preemptible_work_are_bounded_in_a_pass() -> None:
+    """Each search looked at every task of every machine, up to 24 times in a pass."""
+    work = []
+    for machine_count in (60, 240):
+        placement = placement_on(machine_count)
+        for machine in placement.inventory.machines.values():
+            fill_with_small_tasks(placement, machine)
+        placement.inventory.refresh_changed(0.0)
+        while placement.inventory.changed_machines:
+            placement.inventory.refresh_changed(0.0)
+        for index in range(40):
+            # Wants a whole accelerator more than there is: no plan is found
+            job = a_job(f"j-{index:06d}", task_count=1, priority=1, gpus=MACHINE_TYPE.gpus + 1)
+            traits = JobTraits(1, True, "t", "array", 0.0, 0.0, True)
+            placement.inventory.job_traits[job.id] = traits
+            order = [1.0, 0.0, 1.0, float(index)]
+            placement.request(0, job, CandidateUpdate(1, order, None, []), True)
+        before = placement.preemption.work
+        placement.place_waiting(0.0)
+        work.append(placement.preemption.work - before)
+        searches = placement.preemption.checks
+        for _ in range(60):
+            if not placement.is_unfinished:
+                break
+            placement.place_waiting(0.0)
+        assert not placement.is_unfinished
+        assert placement.preemption.checks <= 60 * machine_count + searches
+    assert max(work) <= MAX_PASS_WORK + 2 * MAX_SEARCH_WORK
