Scheduling: one queue for changes that are handled over several steps

Three places had a queue of their own for the same thing: source_requests, owner_changes and the stops of ended jobs. They differed where they should not: the stops had the bound for each ended job instead of for a step, so jobs that end together stopped 8,000 attempts in one step where 4,000 is the bound. `StepQueue` serves all three, with one bound.

--- a/ploverhall/scheduling/allocations.py
+++ b/ploverhall/scheduling/allocations.py
@@ -22,6 +22,7 @@
 from ploverhall.scheduling.pending_write import MAX_TRANSACTION_BYTES
 from ploverhall.scheduling.record_chunks import Allocation, RecordChunk
 from ploverhall.scheduling.resources import ResourceVector, add_scaled
+from ploverhall.scheduling.step_queue import StepQueue
 from ploverhall.settings import Team
 from ploverhall.storage.schema import progress_prefix
 
@@ -38,8 +39,6 @@
 # A job without deadline or objective is due this long after its submission, so it queues behind
 # urgent jobs that arrive within this time
 DEFAULT_DUE_S = 600.0
-# Attempts that one step stops when jobs end: an array may run very many
-MAX_STOPS_PER_STEP = 4_000
 MAX_HISTORY = 200  # failed attempts, and ended jobs, that are kept for the status pages
 OUTCOME_DONE = "done"  # outcomes of an ended job, as shown by /status
 OUTCOME_CANCELLED = "withdrawn"
@@ -94,7 +93,7 @@
         # Teams whose jobs within the guarantee must be determined again
         self.teams_with_stale_guarantees: set[str] = set(self.teams)
         # Attempts of ended jobs that are still to be stopped
-        self.attempts_to_stop: deque[Allocation] = deque()
+        self.attempts_to_stop = StepQueue(self._stop_if_job_ended)
         self.timers: list[tuple[float, str]] = []  # a heap of (time of the next check, job id)
 
         # History
@@ -176,24 +175,19 @@
         job_state.job = None
         job_state.version = 0
         self._drop_offers(job_state)
-        self.attempts_to_stop.extend(job_state.allocations.values())
-        self.stop_attempts_of_ended_jobs()
+        self.attempts_to_stop.add(job_state.allocations.values(), now)
         if not job_state.allocations:
             del self.jobs[job_id]
 
-    def stop_attempts_of_ended_jobs(self) -> None:
-        """Stop the attempts of jobs that have ended, up to the bound for one step."""
-        for _ in range(MAX_STOPS_PER_STEP):
-            if not self.attempts_to_stop:
-                break
-            allocation = self.attempts_to_stop.popleft()
-            job_state = self.jobs.get(allocation.job_id)
-            if (
-                job_state is not None
-                and job_state.job is None
-                and job_state.allocations.get(allocation.task) is allocation
-            ):
-                self.request_stop(allocation, 0.0)
+    def _stop_if_job_ended(self, allocation: Allocation, now: float) -> None:
+        """Stop an attempt, unless it has been removed or its job is live again."""
+        job_state = self.jobs.get(allocation.job_id)
+        if (
+            job_state is not None
+            and job_state.job is None
+            and job_state.allocations.get(allocation.task) is allocation
+        ):
+            self.request_stop(allocation, 0.0)
 
     # -- allocations -------------------------------------------------------------------------
 
--- a/ploverhall/scheduling/owner_changes.py
+++ b/ploverhall/scheduling/owner_changes.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Any, NamedTuple
 
 from ploverhall.protocol import peer_messages
@@ -14,9 +13,7 @@
 from ploverhall.scheduling.allocations import AllocationStore
 from ploverhall.scheduling.attempt_updates import AttemptUpdates
 from ploverhall.scheduling.job_state import Offer
-
-# Changes that one step handles: a full sync has one for each attempt
-MAX_CHANGES_PER_STEP = 4_000
+from ploverhall.scheduling.step_queue import StepQueue
 
 
 class OwnerChange(NamedTuple):
@@ -34,31 +31,25 @@
     def __init__(self, store: AllocationStore, attempt_updates: AttemptUpdates) -> None:
         self.store = store
         self.attempt_updates = attempt_updates
-        self.pending: deque[OwnerChange] = deque()  # to be applied, in this order
+        self.pending = StepQueue(self._apply)
 
     def update(
         self, shard: int, epoch: int, full: bool, changes: dict[str, Any], now: float
     ) -> None:
         """Apply changes of an owner's offers and attempts; a None value deletes the key.
 
-        If `full`, offers that are not in `changes` are dropped. Changes beyond the bound for a step
-        wait for `apply_pending`, and so do those that come while others wait.
+        If `full`, offers that are not in `changes` are dropped. Of a large update only the first
+        part is applied at once, and later updates wait their turn.
         """
-        others_wait = bool(self.pending)
+        to_apply: list[OwnerChange] = []
         if full:
-            self.pending.extend(
+            to_apply.extend(
                 OwnerChange(shard, epoch, peer_messages.offer_key(offer_id[1]), None)
                 for offer_id in self.store.job_by_offer
                 if offer_id[0] == shard and peer_messages.offer_key(offer_id[1]) not in changes
             )
-        self.pending.extend(OwnerChange(shard, epoch, key, value) for key, value in changes.items())
-        if not others_wait:
-            self.apply_pending(now)
-
-    def apply_pending(self, now: float) -> None:
-        """Apply the changes that wait, in order, up to the bound for one step."""
-        for _ in range(min(len(self.pending), MAX_CHANGES_PER_STEP)):
-            self._apply(self.pending.popleft(), now)
+        to_apply.extend(OwnerChange(shard, epoch, key, value) for key, value in changes.items())
+        self.pending.add(to_apply, now)
 
     def _apply(self, change: OwnerChange, now: float) -> None:
         if change.key[0] == peer_messages.OFFER:
--- a/ploverhall/scheduling/permitting.py
+++ b/ploverhall/scheduling/permitting.py
@@ -58,9 +58,10 @@
 
     Its components are the jobs and allocations (`store`), the loader of stored records
     (`record_loader`), the planner of transactions (`writer`), the eviction grants (`grants`), the
-    teams' limits (`quotas`), the handlers of owners' changes (`owner_changes`) and of attempt states
-    (`attempt_updates`), the failure counts (`failures`), the updates to be sent (`source_updates`) and the demand for machines
-    (`unmet_demand`). `max_value_bytes` and `max_transaction_ops` are limits of the key-value store.
+    teams' limits (`quotas`), the handlers of owners' changes (`owner_changes`) and attempt states
+    (`attempt_updates`), the failure counts (`failures`), the updates to be sent (`source_updates`)
+    and the demand for machines (`unmet_demand`). `max_value_bytes` and `max_transaction_ops` are
+    limits of the key-value store.
     """
 
     def __init__(
@@ -135,11 +136,11 @@
 
     def decide(self, now: float) -> None:
         """Permit tasks in memory; permits are sent to shard owners once they have been written."""
-        self.owner_changes.apply_pending(now)
+        self.owner_changes.pending.run_step(now)
         self._run_timers(now)
         if self.store.teams_with_stale_guarantees:
             self.quotas.update_guarantees()
-        self.store.stop_attempts_of_ended_jobs()
+        self.store.attempts_to_stop.run_step(now)
         self.holding_back_offers = False
         self.is_unfinished = bool(self.store.attempts_to_stop or self.owner_changes.pending)
         if not self.store.jobs_to_decide:
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -317,7 +317,7 @@
 
         Applies the rest of large updates first.
         """
-        self.source_requests.apply_pending(now)
+        self.source_requests.pending.run_step(now)
         self.placement.reservations.expire(now)
         if now >= self.next_sweep_at:
             self.next_sweep_at = now + SWEEP_INTERVAL_S
--- a/ploverhall/scheduling/source_requests.py
+++ b/ploverhall/scheduling/source_requests.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Any, NamedTuple
 
 from ploverhall.protocol import peer_messages
@@ -17,9 +16,8 @@
 from ploverhall.scheduling.permit_table import PermitTable
 from ploverhall.scheduling.placement import Placement
 from ploverhall.scheduling.shard_state import ShardState
+from ploverhall.scheduling.step_queue import StepQueue
 
-# Operations that one step applies: a source's full sync, or the end of a large array, has many
-MAX_OPERATIONS_PER_STEP = 4_000
 NO_SOURCE = -1  # source of an operation that a controller makes itself
 # Kinds of operations besides the published ones
 FORGET_JOB = "forget job"
@@ -55,14 +53,13 @@
         self.placement = placement
         self.quarantine = quarantine
         self.known_keys: dict[int, set[str]] = {}  # by source shard: keys on its state channel
-        self.pending: deque[Operation] = deque()  # to be applied, in this order
+        self.pending = StepQueue(self._apply)
 
     def update(self, source_shard: int, full: bool, changes: dict[str, Any], now: float) -> None:
         """Apply changes of a source's jobs, candidates and permits; a None value deletes the key.
 
         If `full`, `changes` holds the complete state, and all other known keys are deleted. Of a
-        large update only the first part is applied at once; `apply_pending` goes on with it, and
-        later updates wait their turn.
+        large update only the first part is applied at once, and later updates wait their turn.
         """
         known = self.known_keys.setdefault(source_shard, set())
         if full:
@@ -77,23 +74,9 @@
         if full:
             by_kind[SYNCED].append(Operation(SYNCED, source_shard, "", None))
         operations = [operation for of_kind in by_kind.values() for operation in of_kind]
-        self._enqueue(operations, now)
-
-    def _enqueue(self, operations: list[Operation], now: float) -> None:
-        """Queue operations, and apply the first ones unless earlier operations are waiting."""
-        others_wait = bool(self.pending)
-        self.pending.extend(operations)
-        if not others_wait:
-            self.apply_pending(now)
+        self.pending.add(operations, now)
         self.state.needs_step = True
 
-    def apply_pending(self, now: float) -> None:
-        """Apply the operations that wait, in order, up to the bound for one step."""
-        for _ in range(MAX_OPERATIONS_PER_STEP):
-            if not self.pending:
-                break
-            self._apply(self.pending.popleft(), now)
-
     def _apply(self, operation: Operation, now: float) -> None:
         kind, source_shard, key, value = operation
         if kind == peer_messages.JOB:
@@ -155,7 +138,9 @@
         """
         self.placement.cancel(job_id)
         attempts = self.permit_table.permits_by_job.get(job_id, ())
-        self._enqueue([Operation(STOP, NO_SOURCE, "", attempt_id) for attempt_id in attempts], now)
+        stops = [Operation(STOP, NO_SOURCE, "", attempt_id) for attempt_id in attempts]
+        self.pending.add(stops, now)
+        self.state.needs_step = True
 
 
 def _job_traits(job: Job, update: JobUpdate, old: JobTraits | None) -> JobTraits:
--- a/tests/test_large_updates.py
+++ b/tests/test_large_updates.py
@@ -13,13 +13,13 @@
     TOKEN_BITS,
     ShardOwner,
 )
-from ploverhall.scheduling.source_requests import MAX_OPERATIONS_PER_STEP
+from ploverhall.scheduling.step_queue import MAX_ITEMS_PER_STEP
 
 from .job_sources import a_job
 from .shard_owners import EPOCH, owner
 
 JOB = "j-000001"
-TASKS = 3 * MAX_OPERATIONS_PER_STEP
+TASKS = 3 * MAX_ITEMS_PER_STEP
 
 
 def full_sync(task_count: int) -> dict[str, Any]:
@@ -49,11 +49,11 @@
     """A new owner applied all 100,000 permits of a source in one step."""
     o = owner()
     o.on_source_update(0, True, full_sync(TASKS), 1.0)
-    assert len(o.permits) < MAX_OPERATIONS_PER_STEP
+    assert len(o.permits) < MAX_ITEMS_PER_STEP
     assert 0 not in o.synced_sources, "tasks of permits that are still waiting would be killed"
     late_key = peer_messages.permit_key(AttemptId(JOB, TASKS - 1, 1))
     o.on_source_update(0, False, {late_key: None}, 1.0)
-    assert max(finish(o)) <= MAX_OPERATIONS_PER_STEP
+    assert max(finish(o)) <= MAX_ITEMS_PER_STEP
     assert 0 in o.synced_sources
     assert len(o.permits) == TASKS - 1, "the deletion that came later was applied last"
 
@@ -77,8 +77,8 @@
     finish(o)
     o.job_ended(JOB, 1.0)
     stopped = [permit for permit in o.permits.values() if permit.stop_grace_s == 0.0]
-    assert 0 < len(stopped) <= MAX_OPERATIONS_PER_STEP
-    assert max(finish(o)) <= MAX_OPERATIONS_PER_STEP
+    assert 0 < len(stopped) <= MAX_ITEMS_PER_STEP
+    assert max(finish(o)) <= MAX_ITEMS_PER_STEP
     assert all(permit.stop_grace_s == 0.0 for permit in o.permits.values())
 
 
--- a/tests/test_small_tasks_source.py
+++ b/tests/test_small_tasks_source.py
@@ -16,8 +16,6 @@
     attempt_key,
     candidate_key,
 )
-from ploverhall.scheduling.allocations import MAX_STOPS_PER_STEP
-from ploverhall.scheduling.owner_changes import MAX_CHANGES_PER_STEP
 from ploverhall.scheduling.permitting import (
     MAX_PERMITS_PER_DECISION,
     MAX_UNCOMMITTED_PERMITS,
@@ -26,6 +24,7 @@
 from ploverhall.scheduling.quota import MAX_CANDIDATES_PER_JOB
 from ploverhall.scheduling.record_loader import MAX_RECORDS_PER_STEP
 from ploverhall.scheduling.shard_owner import ShardOwner
+from ploverhall.scheduling.step_queue import MAX_ITEMS_PER_STEP
 from ploverhall.settings import Team
 
 from .job_sources import EPOCH, a_job, offers
@@ -125,24 +124,25 @@
     assert visits_to_permit(10_000) <= 12 * visits_to_permit(1_000)
 
 
-def permitted_source(task_count: int) -> JobSource:
-    """Return a source of one job with so many written permits."""
-    source = source_with_jobs(1, task_count)
+def permitted_source(task_count: int, job_count: int = 1) -> JobSource:
+    """Return a source of jobs with so many written permits each."""
+    source = source_with_jobs(job_count, task_count)
     stored = {}
     per_chunk = 50
-    for index in range(task_count // per_chunk):
-        records = [
-            [task, 1, f"n-{task % 20}", 0, "a", 3, task]
-            for task in range(index * per_chunk, (index + 1) * per_chunk)
-        ]
-        stored[f"c/t/{index}"] = ({"j-000000": [[1.0, 1.0, 1.0], records]}, 20)
+    for job_id in source.jobs:
+        for first in range(0, task_count, per_chunk):
+            records = [
+                [task, 1, f"n-{task % 20}", 0, "a", 3, task]
+                for task in range(first, first + per_chunk)
+            ]
+            stored[f"c/t/{len(stored)}"] = ({job_id: [[1.0, 1.0, 1.0], records]}, 20)
     source.record_loader.install_allocations("t", stored, 1.0)
     assert len(source.jobs["j-000000"].allocations) == task_count
     return source
 
 
 def test_end_of_a_large_array_stops_its_attempts_in_bounded_steps() -> None:
-    source = permitted_source(2 * MAX_STOPS_PER_STEP)
+    source = permitted_source(2 * MAX_ITEMS_PER_STEP)
     source.take_owner_updates(1, 1.0)
     source.on_job(None, "j-000000", 0, 1.0)
     steps = 0
@@ -150,23 +150,23 @@
     while True:
         updates = source.take_owner_updates(1, 1.0)
         now_stopped = sum(key[0] == "p" for _, key in updates)
-        assert now_stopped <= MAX_STOPS_PER_STEP
+        assert now_stopped <= MAX_ITEMS_PER_STEP
         stopped += now_stopped
         if not source.store.attempts_to_stop:
             break
         steps += 1
         source.decide(1.0)
         assert steps < 10
-    assert stopped == 2 * MAX_STOPS_PER_STEP
+    assert stopped == 2 * MAX_ITEMS_PER_STEP
     attempts = source.jobs["j-000000"].allocations.values()
     assert all(allocation.stop_grace_s == 0.0 for allocation in attempts)
 
 
 def test_attempts_of_a_job_that_is_live_again_are_not_stopped() -> None:
     """The watch may deliver a job again while its attempts are still queued to be stopped."""
-    source = permitted_source(2 * MAX_STOPS_PER_STEP)
+    source = permitted_source(2 * MAX_ITEMS_PER_STEP)
     source.on_job(None, "j-000000", 0, 1.0)
-    job = a_job("j-000000", task_count=2 * MAX_STOPS_PER_STEP)
+    job = a_job("j-000000", task_count=2 * MAX_ITEMS_PER_STEP)
     source.on_job(job, job.id, 9, 1.0)
     for _ in range(3):
         source.decide(1.0)
@@ -225,7 +225,7 @@
 
 def test_full_sync_of_an_owner_is_handled_in_bounded_steps() -> None:
     """A source that took over handled the states of all attempts in one step."""
-    task_count = 3 * MAX_CHANGES_PER_STEP
+    task_count = 3 * MAX_ITEMS_PER_STEP
     source = permitted_source(task_count)
     states = {
         attempt_key(allocation.attempt_id): AttemptUpdate("running", "", 0, 0)
@@ -239,6 +239,16 @@
         counts.append(source.jobs["j-000000"].running_count)
         assert len(counts) < 10
     counts.append(source.jobs["j-000000"].running_count)
-    assert max(after - before for before, after in pairwise([0, *counts])) <= MAX_CHANGES_PER_STEP
+    assert max(after - before for before, after in pairwise([0, *counts])) <= MAX_ITEMS_PER_STEP
     assert counts[-1] == task_count - 1, "the exit that came later was handled last"
     assert source.jobs["j-000000"].done_count == 1
+
+
+def test_jobs_that_end_together_share_the_bound_of_a_step() -> None:
+    """Each of the jobs that ended in one step stopped as many attempts as the bound allows."""
+    source = permitted_source(2 * MAX_ITEMS_PER_STEP, job_count=2)
+    source.take_owner_updates(1, 1.0)
+    for job_id in list(source.jobs):
+        source.on_job(None, job_id, 0, 1.0)
+    updates = source.take_owner_updates(1, 1.0)
+    assert sum(key[0] == "p" for _, key in updates) <= MAX_ITEMS_PER_STEP
