Inventory: one update of a machine's totals for a refresh

A refresh brought the totals of its machine up to date three times, once for each amount that it read; with listed tasks of unknown jobs, after a takeover, each time read all of them again. It does so once now. Marks of a machine go through `mark_for_refresh`, the flag of an unfinished refresh is set and cleared in one place, and a property that one method used is gone.

--- a/ploverhall/scheduling/inventory.py
+++ b/ploverhall/scheduling/inventory.py
@@ -18,6 +18,7 @@
     JobTraits,
     Machine,
     MachinePool,
+    MachineUsage,
     Permit,
 )
 from ploverhall.scheduling.preemption_index import PreemptionIndex
@@ -84,12 +85,12 @@
         """
         if machine is not None:
             machine.usage.must_rebuild = True
-            self.changed_machines[machine.name] = machine
+            self.mark_for_refresh(machine)
 
     def mark_attempt_changed(self, machine: Machine, attempt_id: AttemptId) -> None:
         """Mark a permit or a listed task of a machine as changed, and the machine for a refresh."""
         machine.usage.changed_attempts[attempt_id] = None
-        self.changed_machines[machine.name] = machine
+        self.mark_for_refresh(machine)
 
     def mark_for_refresh(self, machine: Machine) -> None:
         """Mark a machine to be refreshed whose tasks and permits have not changed."""
@@ -100,10 +101,12 @@
 
         A machine of an unknown type has no capacity.
         """
+        return self._free_capacity(machine, self.usage.update(machine))
+
+    def _free_capacity(self, machine: Machine, usage: MachineUsage) -> ResourceVector:
         machine_type = self.machine_types.get(machine.type)
         if machine_type is None:
             return NO_RESOURCES
-        usage = self.usage.update(machine)
         free = add_scaled(machine_type.resources, usage.used, -1)
         if usage.unknown_attempts:
             free = add_scaled(free, machine_type.resources, -len(usage.unknown_attempts))
@@ -121,8 +124,10 @@
 
         A task that has exited counts until it is reaped. Negative if there are too many already.
         """
-        used = self.usage.update(machine).listed_count + len(machine.reservations)
-        return self.max_listed_tasks - used
+        return self._free_task_slots(machine, self.usage.update(machine))
+
+    def _free_task_slots(self, machine: Machine, usage: MachineUsage) -> int:
+        return self.max_listed_tasks - usage.listed_count - len(machine.reservations)
 
     def unusable(self, machine: Machine, now: float) -> bool:
         """Return whether a machine may get no new work."""
@@ -159,9 +164,10 @@
         """Recompute the free capacity of one machine and update the index."""
         self.refresh_count += 1
         free_before, was_indexed = machine.free, machine.index_bucket is not None
-        machine.free = self.free_capacity(machine)
-        machine.free_task_slots = self.free_task_slots(machine)
-        machine.free_for_services = self.capacity_for_services(machine, machine.free)
+        usage = self.usage.update(machine)
+        machine.free = self._free_capacity(machine, usage)
+        machine.free_task_slots = self._free_task_slots(machine, usage)
+        machine.free_for_services = add_scaled(machine.free, usage.yielded)
         machine_type = self.machine_types.get(machine.type)
         if (
             machine_type is None
@@ -171,12 +177,13 @@
             self._unindex(machine)
             self.preemption_index.remove(machine)
             return
-        if machine.has_task_slot:
+        has_task_slot = machine.free_task_slots > 0
+        if has_task_slot:
             self._index(machine, machine_type)
         else:
             self._unindex(machine)  # it stays in the preemption index, and its pool stays known
             self.capacity_index.setdefault(machine.pool, {})
-        has_gained = machine.has_task_slot and (
+        has_gained = has_task_slot and (
             not was_indexed
             or any(
                 after > before + EPSILON
@@ -236,6 +243,7 @@
         leave the indexes meanwhile, since their free capacity is not known.
         """
         changed, self.changed_machines = list(self.changed_machines.values()), {}
+        self.is_refresh_unfinished = False
         work = 0
         for position, machine in enumerate(changed):
             if work >= MAX_REFRESH_WORK:
--- a/ploverhall/scheduling/machines.py
+++ b/ploverhall/scheduling/machines.py
@@ -209,11 +209,6 @@
         """Return its type, zone and whether it is a spot machine."""
         return (self.type, self.zone, self.spot)
 
-    @property
-    def has_task_slot(self) -> bool:
-        """Return whether its heartbeats could list another task, as of the last refresh."""
-        return self.free_task_slots > 0
-
 
 def occupies(permit: Permit, task: TaskStatus | None) -> bool:
     """Return whether a permit uses capacity; `task` is its entry in the machine's list, if any."""
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -389,7 +389,6 @@
 
     def place_candidates(self, now: float) -> None:
         """Reserve capacity for every candidate that fits; the others stay in the queue."""
-        self.inventory.is_refresh_unfinished = False
         for machine in self.inventory.refresh_changed(now):
             self.changed_for_autoscaler[machine.name] = machine
             if machine.reservations and self.inventory.unusable(machine, now):
