--- a/ploverhall/protocol/agents.py
+++ b/ploverhall/protocol/agents.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ploverhall.errors import InvalidHeartbeatError
+from ploverhall.transport.http_parser import MAX_BODY
 
 # Task states: published name -> name used in this package
 TASK_STATES = {
@@ -29,13 +30,12 @@
 TASK_NAME_CACHE_SIZE = 65_536
 MAX_TASK_INDEX_DIGITS = 9
 COUNT_LIMIT = 1 << 64  # counters on the wire are unsigned 64-bit integers
-# A heartbeat is a request, whose body has at most 64 KiB. It lists every task on the machine, also
-# the exited ones that have not been reaped. The sizes are upper bounds for the longest names and
-# counts, in bytes; a command is no larger than a listed task
-MAX_HEARTBEAT_BYTES = 64 * 1024
+# A heartbeat is a request of at most MAX_BODY bytes. It lists every task on the machine, also the
+# exited ones that have not been reaped. The sizes are upper bounds for the longest names and counts,
+# in bytes; a command is no larger than a listed task
 HEARTBEAT_HEAD_BYTES = 1_536  # a heartbeat without its tasks
 LISTED_TASK_BYTES = 128
-MAX_LISTED_TASKS = (MAX_HEARTBEAT_BYTES - HEARTBEAT_HEAD_BYTES) // LISTED_TASK_BYTES
+MAX_LISTED_TASKS = (MAX_BODY - HEARTBEAT_HEAD_BYTES) // LISTED_TASK_BYTES
 
 # Published field names that occur in more than one message
 TASK_NAME_FIELD = "chick"
