Machine totals: only the parts of an attempt's contribution that changed are replaced

Each change of an attempt subtracted all of its contribution and added it again, although most change one part: a task that begins to run changes its preemption class alone.

--- a/ploverhall/scheduling/machine_usage.py
+++ b/ploverhall/scheduling/machine_usage.py
@@ -29,6 +29,9 @@
 # that rounding errors of the sums cannot grow
 MIN_CHANGES_BEFORE_REBUILD = 256
 
+# Of an attempt that is not on the machine
+NO_USAGE = AttemptUsage(None, None, None, None, False, False)
+
 Key = TypeVar("Key")
 
 
@@ -92,20 +95,15 @@
         self.visit_count += 1
         usage = machine.usage
         usage.changes_since_rebuild += 1
-        before = usage.attempts.pop(attempt_id, None)
+        before = usage.attempts.get(attempt_id, NO_USAGE)
         after = self._read_attempt(machine, attempt_id)
-        if after is not None:
+        if after is None:
+            usage.attempts.pop(attempt_id, None)
+            after = NO_USAGE
+        else:
             usage.attempts[attempt_id] = after
-        if before == after:
-            return
-        if before is not None:
-            _count_attempt(usage, attempt_id, before, -1)
-        if after is not None:
-            _count_attempt(usage, attempt_id, after, 1)
-            if after.preemption_class is not None and (
-                before is None or before.preemption_class != after.preemption_class
-            ):
-                usage.gained_preemptible = True
+        if before != after:
+            _replace_contribution(usage, attempt_id, before, after)
 
     def _read_attempt(self, machine: Machine, attempt_id: AttemptId) -> AttemptUsage | None:
         """Return what an attempt contributes now; None if it is neither permitted nor listed."""
@@ -162,24 +160,54 @@
     return (0, *traits.preemption_class[1:]) if permit.overdue else traits.preemption_class
 
 
-def _count_attempt(
-    usage: MachineUsage, attempt_id: AttemptId, contribution: AttemptUsage, sign: int
+def _replace_contribution(
+    usage: MachineUsage, attempt_id: AttemptId, before: AttemptUsage, after: AttemptUsage
 ) -> None:
-    """Add an attempt's contribution to the totals, or subtract it if `sign` is -1."""
-    if contribution.resources is not None:
-        usage.used = add_scaled(usage.used, contribution.resources, sign)
-    if contribution.yielded is not None:
-        usage.yielded = add_scaled(usage.yielded, contribution.yielded, sign)
-    if contribution.may_be_listed:
-        usage.listed_count += sign
-    if contribution.is_unknown:
-        _set_value(usage.unknown_attempts, attempt_id, None, sign)
-    if contribution.image is not None:
-        _count(usage.permits_by_image, contribution.image, sign)
+    """Replace an attempt's contribution to the totals; most changes concern one part of it."""
+    if before.resources != after.resources:
+        usage.used = _with_replaced(usage.used, before.resources, after.resources)
+    if before.yielded != after.yielded:
+        usage.yielded = _with_replaced(usage.yielded, before.yielded, after.yielded)
+    if before.image != after.image:
+        _count_permit(usage, attempt_id, before.image, -1)
+        _count_permit(usage, attempt_id, after.image, 1)
+    if before.preemption_class != after.preemption_class:
+        _replace_preemption_class(usage, attempt_id, before, after)
+    usage.listed_count += after.may_be_listed - before.may_be_listed
+    if after.is_unknown:
+        usage.unknown_attempts[attempt_id] = None
+    elif before.is_unknown:
+        del usage.unknown_attempts[attempt_id]
+
+
+def _with_replaced(
+    total: ResourceVector, before: ResourceVector | None, after: ResourceVector | None
+) -> ResourceVector:
+    """Return a total in which one amount is replaced by another."""
+    if before is not None:
+        total = add_scaled(total, before, -1)
+    return add_scaled(total, after) if after is not None else total
+
+
+def _count_permit(usage: MachineUsage, attempt_id: AttemptId, image: str | None, sign: int) -> None:
+    """Count a permit by its image and job; it is not counted without an image."""
+    if image is not None:
+        _count(usage.permits_by_image, image, sign)
         _count(usage.permits_by_job, attempt_id.job_id, sign)
-    if contribution.preemption_class is not None:
-        _count(usage.preemptible_by_class, contribution.preemption_class, sign)
-        _set_value(usage.preemptible, attempt_id, contribution.preemption_class, sign)
+
+
+def _replace_preemption_class(
+    usage: MachineUsage, attempt_id: AttemptId, before: AttemptUsage, after: AttemptUsage
+) -> None:
+    """Replace the preemption class of an attempt, which is None while it is not preemptible."""
+    if before.preemption_class is not None:
+        _count(usage.preemptible_by_class, before.preemption_class, -1)
+    if after.preemption_class is None:
+        del usage.preemptible[attempt_id]
+        return
+    _count(usage.preemptible_by_class, after.preemption_class, 1)
+    usage.preemptible[attempt_id] = after.preemption_class
+    usage.gained_preemptible = True
 
 
 def _count_reservation(usage: MachineUsage, reservation: Reservation, sign: int) -> None:
@@ -194,11 +222,3 @@
     counter[key] += sign
     if not counter[key]:
         del counter[key]
-
-
-def _set_value(values: dict[AttemptId, Key], attempt_id: AttemptId, value: Key, sign: int) -> None:
-    """Set an attempt's value, or remove it if `sign` is -1."""
-    if sign > 0:
-        values[attempt_id] = value
-    else:
-        values.pop(attempt_id, None)
