A lease that expired ends only the incarnation whose heartbeats it was measured from

Its agent began incarnation 2 at 92.01; at 93.05 a command got through, and the answer showed the new incarnation and that the victims were gone. The owner sent the successor's run command to incarnation 2 (93.07, answered 200). The class: a verdict by evidence that belongs to an earlier incarnation than the action that it overrules.

Change: a verdict that its evidence does not cover (`GoneVerdict .is_supported`: incarnation and token) no longer marks the attempt as gone; it stays known and occupies its capacity. And no run is sent to an incarnation of which only answers to commands are known, since the lease's clock does not cover it: its permits are refused when the old lease ends, and their tasks start elsewhere, as if the answer had come a second later.

--- a/ploverhall/scheduling/command_builder.py
+++ b/ploverhall/scheduling/command_builder.py
@@ -116,6 +116,8 @@
             and permit.epoch == self.state.epoch
             and permit.attempt_id not in machine.tasks
             and machine.accepted_token
+            # The clock of `lease_monitor` covers only an incarnation that has sent a heartbeat
+            and machine.newest_heartbeat[0] == machine.incarnation
             and not self.permit_table.waits_for_victims(permit, machine)
         )
 
--- a/ploverhall/scheduling/permit_table.py
+++ b/ploverhall/scheduling/permit_table.py
@@ -280,24 +280,37 @@
         return None
 
     def _mark_gone(self, permit: Permit, evidence: GoneEvidence, machine: Machine | None) -> None:
-        """Mark a permit as gone, and record the verdict with what supports it."""
+        """Mark a permit as gone if the evidence covers its last run command.
+
+        Otherwise the attempt stays known, and occupies its capacity, until there is evidence.
+        """
         if permit.gone:
             return
+        verdict = _verdict(permit, evidence, machine)
+        self.state.gone_verdicts.record(verdict)
+        if not verdict.is_supported:
+            return
         permit.gone = True
         if evidence is not GoneEvidence.RUN_NOT_SENT or permit.refused:
             permit.gone_reason = GONE_REASONS[evidence]
-        by_clock = evidence is GoneEvidence.LEASE_EXPIRED
-        self.state.gone_verdicts.record(
-            GoneVerdict(
-                permit.attempt_id,
-                permit.machine,
-                evidence,
-                permit.run_incarnation,
-                permit.run_token,
-                (machine.newest_heartbeat[0] if by_clock else machine.incarnation)
-                if machine
-                else 0,
-                machine.seen_token if machine else 0,
-                max(machine.last_answer_at, machine.last_heartbeat_at) if machine else 0.0,
-            )
-        )
+
+
+def _verdict(permit: Permit, evidence: GoneEvidence, machine: Machine | None) -> GoneVerdict:
+    """Return the verdict that an attempt is gone, with what its machine has shown; None: unknown."""
+    incarnation, token, contact_at = 0, 0, 0.0
+    if machine is not None:
+        token = machine.seen_token
+        contact_at = max(machine.last_answer_at, machine.last_heartbeat_at)
+        # A lease is measured from heartbeats, so its expiry ends the incarnation that sent them
+        is_by_clock = evidence is GoneEvidence.LEASE_EXPIRED
+        incarnation = machine.newest_heartbeat[0] if is_by_clock else machine.incarnation
+    return GoneVerdict(
+        permit.attempt_id,
+        permit.machine,
+        evidence,
+        permit.run_incarnation,
+        permit.run_token,
+        incarnation,
+        token,
+        contact_at,
+    )
