An answer to a command does not end the wait for a heartbeat after a stall

After an event-loop stall, a new process of the same controller may be answering an agent with equal tokens (docs/restart.md), so missing heartbeats prove nothing until the agent has sent one here again. An answer to a command that was in flight, or the next one, counted as such a heartbeat: a lease later the agent's attempts were gone although another process renewed its lease, and their tasks could start a second time.

Only heartbeats set `accepted_token` now. The regression test fails without the change: 'gone' == 'running'.

--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -221,12 +221,12 @@
         informative = not same_tasks or _changes_machine_state(machine, heartbeat)
         if not direct:
             machine.lease_expired = False
+            machine.accepted_token = machine.accepted_token or epoch == self.epoch
         machine.address = heartbeat.address
         machine.incarnation = heartbeat.incarnation
         machine.sequence = heartbeat.sequence
         machine.seen_token = heartbeat.token
         machine.termination_notice_s = heartbeat.termination_notice_s
-        machine.accepted_token = machine.accepted_token or epoch == self.epoch
         if not same_tasks:
             self._update_tasks(machine, heartbeat, now)
         elif heartbeat.termination_notice_s is not None:
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -257,6 +257,17 @@
         assert (state(o) == "gone") == reported_again
 
 
+def test_answer_to_a_command_after_a_stall_proves_nothing_about_missing_heartbeats() -> None:
+    o, m = started(direct=False)
+    o.on_heartbeat(report(2, m.token, listed("running")), 1.0)
+    m.command_pending = True
+    o.on_event_loop_stall(9.0, 10.0)
+    o.on_direct_answer(m, report(3, m.token, listed("running")), 10.5)
+    o.epoch_confirmed_at = 99.0
+    o.advance_time(50.0)
+    assert state(o) == "running", "another process may answer its heartbeats with these tokens"
+
+
 def test_exhausted_token_space_proves_nothing_by_a_token_that_was_not_raised() -> None:
     """Each command that an agent does not answer uses up a token, although it takes the answers to
     its heartbeats. When the tokens of an epoch are exhausted, a new epoch is requested.
