A late copy of an answered run command starts no task again

Callers would see `ran_twice`, `ran_cancelled` and exceeded quotas: an agent executes a copy of a direct command as long as token and incarnation match. While it knows the attempt, the copy has no effect; after a reap it started the attempt again, on a machine that the source had left.

Cause: a run was fenced only while its request was unanswered; an answer dropped it from `inflight_runs`, and the reap then went out under the token of the run.

Change (`scheduling/run_fence.py`): a run counts as unfenced until its machine's token is higher or its agent begins a new incarnation. An attempt without a result is reaped under a raised token, which the reap itself carries; one raise covers all reaps of an answer. A task with a result exits with it when it is started again, so short tasks cost no tokens; if its job is cancelled later, the tokens of the machines where such results were reaped are raised then. Takeovers and restarts fence by the new epoch, expired leases by the incarnation. Without a token left, the attempt stays listed, and a new epoch is requested as before.

Copied commands are also part of every drawn fault schedule, of the decision model, and of the test of messages in any order.

Two test harnesses built the answer to a heartbeat with the token from before its commands; the controller takes it afterwards, as a fence needs.

--- a/ploverhall/controller/shard_roles.py
+++ b/ploverhall/controller/shard_roles.py
@@ -76,6 +76,7 @@
         owner.inventory.usage.resources_of_job = context.resources_of_job
         owner.log_debug = log.debug
         owner.job_ended_in_store = context.store_cache.ended_jobs.__contains__
+        owner.job_cancelled_in_store = context.store_cache.is_cancelled
         return owner
 
     def release(self, shard: int, reason: str) -> None:
--- a/ploverhall/scheduling/command_builder.py
+++ b/ploverhall/scheduling/command_builder.py
@@ -11,9 +11,10 @@
 
 from ploverhall.coordination import fencing_tokens
 from ploverhall.protocol import agents
-from ploverhall.protocol.agents import EXITED, AttemptId, TaskStatus
+from ploverhall.protocol.agents import EXITED, TaskStatus
 from ploverhall.scheduling.machines import Machine, Permit
 from ploverhall.scheduling.permit_table import PermitTable
+from ploverhall.scheduling.run_fence import RunFence
 from ploverhall.scheduling.shard_state import ShardState
 
 Command = dict[str, Any]
@@ -22,13 +23,16 @@
 class CommandBuilder:
     """Builds commands from the permits of a machine and the tasks that it lists."""
 
-    def __init__(self, state: ShardState, permit_table: PermitTable) -> None:
+    def __init__(self, state: ShardState, permit_table: PermitTable, run_fence: RunFence) -> None:
         self.state = state
         self.permit_table = permit_table
+        self.run_fence = run_fence
 
     def commands_for(self, machine: Machine, direct: bool = False) -> list[Command]:
         """Return the commands for an agent, and record its runs as sent under the machine's token.
 
+        The token may be raised here, so the message that carries the commands is built afterwards.
+
         `direct` commands are sent outside the answers to heartbeats. Each run is sent directly only
         once; a kill is sent directly again if its grace period changes or no answer arrived.
         """
@@ -102,7 +106,7 @@
         """Put the current renewal grant into the machine's token."""
         token = fencing_tokens.with_renewal_grant(machine.token, self.state.renewal_grant)
         if token is not None:
-            machine.token = token
+            machine.set_token(token)
         else:
             # The machine keeps its earlier grant, which ends sooner
             self.state.token_space_exhausted = True
@@ -134,29 +138,17 @@
                 # while a new owner is partitioned from its source.
                 if all_synced or self.state.job_ended_in_store(attempt_id.job_id):
                     commands.append(agents.kill_command(attempt_id, 0.0))
-            elif all_synced and self._may_reap(attempt_id, machine):
+            elif all_synced and self.run_fence.may_reap(attempt_id, task, machine):
                 commands.append(agents.reap_command(attempt_id))
         return commands
 
-    def _may_reap(self, attempt_id: AttemptId, machine: Machine) -> bool:
-        """Return whether an attempt can be reaped without a late run command starting it again.
-
-        Raises the machine's token to fence a run that is in flight.
-        """
-        if attempt_id not in machine.inflight_runs:
-            return True
-        if not self.state.raise_token(machine):
-            return False
-        machine.inflight_runs.clear()
-        return True
-
     def _run_command(self, permit: Permit, machine: Machine, direct: bool) -> Command:
         """Return the run command of a permit, and record it as sent."""
         permit.run_token = machine.token
         permit.run_incarnation = machine.incarnation
         if direct:
             permit.run_sent_directly = True
-            machine.inflight_runs.add(permit.attempt_id)
+            machine.unfenced_runs.add(permit.attempt_id)
         else:
             machine.runs_in_answer.add(permit.attempt_id)
         self.state.log_debug(
--- a/ploverhall/scheduling/machines.py
+++ b/ploverhall/scheduling/machines.py
@@ -174,8 +174,10 @@
     replacement_due: bool = False  # in quarantine for long enough to be replaced
     # Job id -> time of its last failure here; without jobs that fail everywhere
     failures_by_job: dict[str, float] = field(default_factory=dict)
-    # Attempts whose run command is in an unanswered direct request
-    inflight_runs: set[AttemptId] = field(default_factory=set)
+    # Attempts whose run was sent directly under the current token (`run_fence`), and unfinished jobs
+    # of which such attempts were reaped with a result
+    unfenced_runs: set[AttemptId] = field(default_factory=set)
+    jobs_with_reaped_results: set[str] = field(default_factory=set)
     command_pending: bool = False  # a direct request is unanswered
     next_command_at: float = 0.0
     unanswered_commands: int = 0  # consecutive direct requests without an answer
@@ -204,6 +206,17 @@
     # `PreemptionIndex.generation` when it last gained a preemptible task or free capacity
     preemptible_since: int = 0
 
+    def set_token(self, token: int) -> None:
+        """Set the fencing token of the commands to this machine; a higher one fences all runs."""
+        if token != self.token:
+            self.token = token
+            self.forget_fenced_runs()
+
+    def forget_fenced_runs(self) -> None:
+        """Note that the agent will reject copies of all runs sent so far."""
+        self.unfenced_runs.clear()
+        self.jobs_with_reaped_results.clear()
+
     @property
     def pool(self) -> MachinePool:
         """Return its type, zone and whether it is a spot machine."""
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -29,6 +29,7 @@
 from ploverhall.scheduling.machines import Machine, Permit
 from ploverhall.scheduling.permit_table import PermitTable
 from ploverhall.scheduling.placement import Placement
+from ploverhall.scheduling.run_fence import RunFence
 from ploverhall.scheduling.shard_state import ShardState
 from ploverhall.scheduling.source_requests import SourceRequests
 
@@ -77,7 +78,8 @@
             self, self.permit_table, self.placement, self.quarantine
         )
         self.lease_monitor = LeaseMonitor(self, self.permit_table, self.placement.reservations)
-        self.command_builder = CommandBuilder(self, self.permit_table)
+        self.run_fence = RunFence(self)
+        self.command_builder = CommandBuilder(self, self.permit_table, self.run_fence)
         self.draining_machines: set[str] = set()
         self.cordoned_machines: set[str] = set()  # for maintenance orders
         self.superseded_by = 0
@@ -112,6 +114,7 @@
 
         This works even while the job's source is unreachable.
         """
+        self.run_fence.job_ended(job_id)
         self.source_requests.end_job(job_id, now)
 
     # -- heartbeats --------------------------------------------------------------------------
@@ -137,7 +140,7 @@
             if machine.stale_heartbeat:
                 return machine
         if heartbeat.token > machine.token:
-            machine.token = heartbeat.token
+            machine.set_token(heartbeat.token)
         number = (heartbeat.incarnation, heartbeat.sequence)
         if machine.lease_expired:
             self._accept_lower_number(machine, number, now)
@@ -219,6 +222,8 @@
         """Update a machine from a heartbeat that is newer than its recorded state."""
         same_tasks = heartbeat.listed_tasks == machine.listed_tasks
         informative = not same_tasks or _changes_machine_state(machine, heartbeat)
+        if heartbeat.incarnation != machine.incarnation:
+            machine.forget_fenced_runs()
         if not direct:
             machine.lease_expired = False
             machine.accepted_token = machine.accepted_token or epoch == self.epoch
@@ -425,7 +430,6 @@
     def on_direct_answer(self, machine: Machine, heartbeat: Heartbeat | None, now: float) -> None:
         """Process the answer to a direct command; `heartbeat` is None if no answer arrived."""
         machine.command_pending = False
-        machine.inflight_runs.clear()
         if heartbeat is None:
             self._on_command_unanswered(machine, now)
         elif self.machines.get(machine.name) is machine:
--- a/ploverhall/scheduling/shard_state.py
+++ b/ploverhall/scheduling/shard_state.py
@@ -90,6 +90,7 @@
         self.gone_verdicts = GoneVerdicts()
         # Messages of agents that were not newer than an earlier one, and so changed nothing
         self.stale_message_count = 0
+        self.raised_token_count = 0
         # Machines that may need a direct command
         self.machines_needing_commands: dict[str, Machine] = {}
         # Machines with a pending update for the autoscaler; None: the machine has been removed
@@ -99,6 +100,8 @@
         self.log_debug: Callable[..., None] = lambda *args, **fields: None
         # Whether a job has ended, according to the store cache of this controller
         self.job_ended_in_store: Callable[[str], bool] = lambda job_id: False
+        # Whether it has ended by a cancellation
+        self.job_cancelled_in_store: Callable[[str], bool] = lambda job_id: False
 
     def mark_changed(self, machine: Machine | None) -> None:
         """Note that anything on a machine may have changed; None is ignored."""
@@ -131,5 +134,6 @@
         if token is None:
             self.token_space_exhausted = True
             return False
-        machine.token = token
+        machine.set_token(token)
+        self.raised_token_count += 1
         return True
--- a/ploverhall/storage/store_cache.py
+++ b/ploverhall/storage/store_cache.py
@@ -38,6 +38,11 @@
     # Revision of the last listing; deletions before it are unknown if the key was written again
     loaded_revision: int = 0
 
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a job has ended by a cancellation, as far as the cache knows."""
+        ended = self.ended_jobs.get(job_id)
+        return ended is not None and ended.outcome == jobs.CANCELLED
+
     def load(self, listing: dict[str, tuple[Any, int]], revision: int) -> None:
         """Replace the content by a listing (value and version by key), but keep newer changes.
 
--- a/tests/simulation/active_fault.py
+++ b/tests/simulation/active_fault.py
@@ -10,6 +10,8 @@
 from .store_faults import StoreFaults
 
 CANCELS = "cancels"  # users cancel jobs; drawn in addition to every other fault
+# Commands that were answered arrive again; in every drawn schedule, from its beginning to its end
+COPIED_COMMANDS = "copied_commands"
 # The order determines what each seed draws
 KINDS = (
     "refuse",
@@ -75,5 +77,6 @@
             "odd_requests": self.invalid_requests,
             "held_command": self.held_commands,
             "new_machines": self.new_machines,
+            COPIED_COMMANDS: self.copied_commands,
         }
         await faults[kind]()
--- a/tests/simulation/agent_faults.py
+++ b/tests/simulation/agent_faults.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from .command_copies import CommandCopies
 from .fault_context import FaultContext
 from .parameters import DEPLOYED_LEASE_S
 from .simulated_network import HOLD
@@ -28,6 +29,11 @@
         )
         await self._remove_hook_after(self.seconds(15.0, 40.0))
 
+    async def copied_commands(self) -> None:
+        """Deliver copies of a share of the direct commands, up to a minute after their answers."""
+        copies = CommandCopies(self.cluster, self.rng, self.rng.choice([0.1, 0.5, 1.0]))
+        self.cluster.fleet.command_hook = copies.on_command
+
     async def _remove_hook_after(self, s: float) -> None:
         """Remove the heartbeat hook after s seconds, unless another fault has replaced it."""
         installed_hook = self.cluster.fleet.heartbeat_hook
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -61,6 +61,7 @@
         self.late_writes, self.lost_answers = 0.0, 0.0
         self.polling_rng = None
         self.fleet.heartbeat_hook = None
+        self.fleet.command_hook = None
         self.fleet.lost_answers = self.fleet.late_requests = 0.0
         self.fleet.command_holds.clear()
         for agent in self.fleet.workers.values():
--- a/tests/simulation/decision_model.py
+++ b/tests/simulation/decision_model.py
@@ -50,10 +50,14 @@
         kinds: tuple[int, ...] = DEFAULT_KINDS,
         cut_off: float = 60.0,
         copies: float = 0.0,
+        command_copies: float = 0.0,
     ) -> None:
         super().__init__()
         self.cut_off = cut_off  # the barrier's setting, for controllers that are cut off
         self.copies = copies  # share of heartbeats delivered again, up to three leases later
+        # Share of direct commands that are delivered again, up to 60 s after they were answered
+        self.command_copies = command_copies
+        self.command_copy_rng = Random(seed + 2_000_000)
         # `fault_intensity` 0: no faults, else it scales message delays; `kinds` of faults to draw
         self.fault_intensity, self.kinds = fault_intensity, kinds
         self.down_until = 0.0  # until then the store refuses all requests
--- a/tests/simulation/fake_agents.py
+++ b/tests/simulation/fake_agents.py
@@ -71,6 +71,8 @@
         self.start_counts: Counter[tuple[str, int]] = Counter()
         # Called with every heartbeat that is sent: the agent, the controller's name, the body
         self.heartbeat_hook: Callable[[ModelAgent, str, dict[str, Any]], None] | None = None
+        # Called with every direct command that was carried out: the agent and the body
+        self.command_hook: Callable[[ModelAgent, dict[str, Any]], None] | None = None
         # By machine: until when commands to it are held; if True, the answers are held instead
         self.command_holds: dict[str, tuple[float, bool]] = {}
 
@@ -142,6 +144,8 @@
             if hold_answers:
                 await anyio.sleep(max(0.0, until - self.now))
             accepted = body["crest"] >= token_before and body["tide"] == agent.incarnation
+            if accepted and self.command_hook is not None:
+                self.command_hook(agent, body)
             return Reply(200 if accepted else 409, {**report, "endpoint": endpoint})
 
         return handle
--- a/tests/simulation/fault_schedules.py
+++ b/tests/simulation/fault_schedules.py
@@ -27,7 +27,7 @@
 import anyio
 
 from . import parameters
-from .active_fault import CANCELS, KINDS, ActiveFault
+from .active_fault import CANCELS, COPIED_COMMANDS, KINDS, ActiveFault
 from .cluster import SimulatedCluster
 from .parameters import DEPLOYED_CANCEL_S, DEPLOYED_LEASE_S
 from .scene import play
@@ -82,7 +82,10 @@
 
 
 def draw_schedule(seed: int, kinds: Sequence[str] = KINDS, times: int = 2) -> FaultSchedule:
-    """Draw `times` groups of two or three overlapping faults, each followed by cancellations."""
+    """Draw `times` groups of two or three overlapping faults, each followed by cancellations.
+
+    Direct commands arrive again meanwhile.
+    """
     rng, at, faults = Random(f"meeting {seed}"), 0.0, list[Fault]()
     for _ in range(times):
         for kind in rng.sample(list(kinds), min(len(kinds), rng.choice([2, 2, 3]))):
@@ -91,6 +94,7 @@
             faults.append(Fault(cancels_at, CANCELS, f"{seed} {len(faults)}"))
             at += rng.choice([0.0, 0.3, 2.0, 6.0])
         at += rng.choice([12.0, QUIET_S, DEPLOYED_CANCEL_S + QUIET_S])
+    faults.append(Fault(0.0, COPIED_COMMANDS, f"{seed} copies"))
     return FaultSchedule(_by_time(faults), at)
 
 
--- a/tests/simulation/model_agent.py
+++ b/tests/simulation/model_agent.py
@@ -165,6 +165,15 @@
             if task.state != ENDED
         )
 
+    def restart(self) -> None:
+        """Lose all tasks, as when the machine is back within a fraction of a second.
+
+        The token and the incarnation are kept on the machine, and the next incarnation begins.
+        """
+        self.tasks.clear()
+        self.incarnation += 1
+        self.answered_sent = self.world.now
+
     def on_answer(self, body: dict[str, Any], sent: float, incarnation: int) -> None:
         """Handle the answer to a heartbeat that incarnation `incarnation` sent at time `sent`."""
         self.tick()
--- a/tests/simulation/model_messages.py
+++ b/tests/simulation/model_messages.py
@@ -165,9 +165,9 @@
         if machine.stale_heartbeat:
             # as in controller.heartbeat_requests: the answer has no commands and is discarded
             return
-        token = machine.token  # before the commands are built, which may raise it
         commands = held.owner.commands_for(machine, model.now)
-        answer = copied(agents.heartbeat_answer(token, commands))
+        # As in controller.heartbeat_requests, with the token that the commands may have raised
+        answer = copied(agents.heartbeat_answer(machine.token, commands))
         machine.last_answer_at = model.now
         if model.now < agent.not_receiving_until:
             self._try_next_controller(agent)
@@ -211,6 +211,7 @@
             report = agent.on_commands(body)
             if answered:
                 model.schedule(model.delay(), on_answer, report)
+                self._schedule_copy(agent, body)
 
         unreachable = model.now < max(agent.hung_until, agent.not_receiving_until)
         if model.cut(controller, agent) or fate > ANSWERED_COMMANDS or unreachable:
@@ -219,3 +220,16 @@
             model.schedule(COMMAND_TIMEOUT_S, on_answer, None)
         else:
             model.schedule(model.delay(), deliver, True)
+
+    def _schedule_copy(self, agent: ModelAgent, body: dict[str, Any]) -> None:
+        """Schedule the delivery of a copy of some of the commands that were answered."""
+        model = self.model
+        rng = model.command_copy_rng
+        if not model.command_copies or rng.random() >= model.command_copies:
+            return
+
+        def deliver_copy() -> None:
+            if model.now >= agent.hung_until:
+                agent.on_commands(body)
+
+        model.schedule(rng.choice([0.3, 2.0, 9.0, 30.0, 60.0]), deliver_copy)
--- a/tests/simulation/model_shard.py
+++ b/tests/simulation/model_shard.py
@@ -48,6 +48,7 @@
             else None
         )
         self.owner.job_ended_in_store = controller.replica.ended_jobs.__contains__
+        self.owner.job_cancelled_in_store = controller.replica.is_cancelled
         teams = [model.teams[team] for team in model.layout.teams_of(shard)]
         # the allocations are read after the claim, when no earlier holder can write them any more
         self.source = JobSource(shard, epoch, teams, ("a", "b"), model.value_bytes, model.txn_ops)
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -187,6 +187,44 @@
     assert m.token > before
 
 
+def reaped(why: str) -> tuple[ShardOwner, Any, int]:
+    """Return an owner that has reaped an attempt whose run was answered, its machine, its token."""
+    o, m = started(direct=True)
+    token = m.token
+    o.on_direct_answer(m, report(2, token, listed("running")), 0.1)
+    o.on_heartbeat(report(3, token, listed("ended", why)), 1.0)
+    o.on_source_update(0, False, {peer_messages.permit_key(KEY): None}, 2.0)
+    assert [c["call"] for c in o.commands_for(m, 2.0)] == ["reap"]
+    return o, m, token
+
+
+def test_reap_of_an_attempt_without_a_result_fences_copies_of_its_answered_run() -> None:
+    _, m, token = reaped("halted")
+    assert m.token > token
+
+
+def test_reaped_results_of_a_live_job_cost_no_token_until_the_job_is_cancelled() -> None:
+    for outcome in ("done", "withdrawn"):
+        o, m, token = reaped("done")
+        assert m.token == token, "the agent ends a copy of this run with the kept result"
+        o.job_ended_in_store = {KEY.job_id}.__contains__
+        o.job_cancelled_in_store = lambda job_id, outcome=outcome: outcome == "withdrawn"
+        o.job_ended(KEY.job_id, 3.0)
+        assert (m.token > token) == (outcome == "withdrawn")
+        assert not o.run_fence.machines_with_reaped_results
+
+
+def test_exited_attempt_stays_listed_when_no_token_is_left_to_fence_its_run() -> None:
+    o, m = started(direct=True)
+    o.on_direct_answer(m, report(2, m.token, listed("running")), 0.1)
+    while o.raise_token(m):
+        pass
+    m.unfenced_runs.add(KEY)
+    o.on_heartbeat(report(3, m.token, listed("ended", "halted")), 1.0)
+    o.on_source_update(0, False, {peer_messages.permit_key(KEY): None}, 2.0)
+    assert o.commands_for(m, 2.0) == [] and o.token_space_exhausted
+
+
 def test_reservation_expires_and_a_late_permit_takes_free_capacity_or_is_refused() -> None:
     o = owner()
     m = o.on_heartbeat(report(1, EPOCH << TOKEN_BITS), 0.0)
--- a/tests/test_stale_heartbeats.py
+++ b/tests/test_stale_heartbeats.py
@@ -197,7 +197,8 @@
         m = self.owner.on_heartbeat(agents.heartbeat_from_json(body), self.now)
         if m is None or m.stale_heartbeat:
             return
-        answer = agents.heartbeat_answer(m.token, self.owner.commands_for(m, self.now))
+        commands = self.owner.commands_for(m, self.now)
+        answer = agents.heartbeat_answer(m.token, commands)
         m.last_answer_at = self.now
         if answered:
             w.on_answer(answer, sent, body["tide"])
@@ -219,6 +220,7 @@
             for m, body in self.owner.direct_commands(self.now):
                 x = self.workers[int(m.name[2:])]
                 if n % 2:
+                    self.commands.append((x, body))  # a copy may arrive after the answer
                     self.owner.on_direct_answer(
                         m, agents.heartbeat_from_json(x.on_commands(body)), self.now
                     )
