--- a/ploverhall/scheduling/shard_state.py
+++ b/ploverhall/scheduling/shard_state.py
@@ -64,11 +64,18 @@
         lease_s: float,
         heartbeat_interval_s: float,
         now: float,
+        holder: int | None = None,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
         self.source_count = source_count
         self.lease_s = lease_s
+        # The fencing token that every machine starts with
+        self.initial_token = fencing_tokens.initial_token(epoch, holder)
+        self.superseded_by = 0  # the newest later epoch that an agent has shown
+        self.last_heartbeat_at = 0.0  # newest heartbeat of any machine
+        self.draining_machines: set[str] = set()
+        self.cordoned_machines: set[str] = set()  # for maintenance orders
         # Start of the newest fresh read of the store that showed this epoch in force
         self.epoch_confirmed_at = now
         # Set when a lease has expired by this clock: a fresh read of the store has to show who
