Operators see raised tokens and withheld verdicts; more paths have a test

New tests go with rows of the table of paths in the postmortem: messages that are not newer, a command that is refused with nothing newer, a late heartbeat after an expired lease.

--- a/ploverhall/controller/shard_status.py
+++ b/ploverhall/controller/shard_status.py
@@ -106,16 +106,19 @@
         return fields
 
     def _add_evidence_counts(self, fields: ControllerFields) -> None:
-        """Add the counts of gone verdicts and stale messages of the shards held here, if any."""
+        """Add the counts that concern evidence and fences of the shards held here, if any."""
+        owners = [held.owner for held in self.context.held_shards.values()]
         gone_verdicts: Counter[str] = Counter()
-        stale_messages = 0
-        for held in self.context.held_shards.values():
-            gone_verdicts.update(held.owner.gone_verdicts.counts)
-            stale_messages += held.owner.stale_message_count
+        for owner in owners:
+            gone_verdicts.update(owner.gone_verdicts.counts)
+        stale_messages = sum(owner.stale_message_count for owner in owners)
+        raised_tokens = sum(owner.raised_token_count for owner in owners)
         if gone_verdicts:
             fields["gone_verdicts"] = dict(sorted(gone_verdicts.items()))
         if stale_messages:
             fields["stale_messages"] = stale_messages
+        if raised_tokens:
+            fields["raised_tokens"] = raised_tokens
 
     def _recent_stall(self, now: float) -> list[float] | None:
         """Return how long ago the last event-loop stall ended and its length, both in seconds.
--- a/ploverhall/controller/status_fields.py
+++ b/ploverhall/controller/status_fields.py
@@ -92,10 +92,11 @@
     quiet_s: dict[str, float]  # by shard: time since the last heartbeat of any agent
     # Only if a step was slow: how long ago the longest one ended, its length, and its name
     slow_step: NotRequired[list[float | str]]
-    # Only if there were any: attempts counted as gone, by evidence, and agents' messages that were
-    # not newer than an earlier one
+    # Only if there were any: attempts counted as gone, by evidence, agents' messages that were not
+    # newer than an earlier one, and fencing tokens that were raised
     gone_verdicts: NotRequired[dict[str, int]]
     stale_messages: NotRequired[int]
+    raised_tokens: NotRequired[int]
 
 
 class AutoscalerFields(TypedDict):
--- a/ploverhall/scheduling/gone_verdicts.py
+++ b/ploverhall/scheduling/gone_verdicts.py
@@ -16,6 +16,8 @@
 
 MAX_PENDING_VERDICTS = 200  # kept for the log between two steps; the others are only counted
 
+UNSUPPORTED = "unsupported"  # counted instead of the evidence if that does not cover the run
+
 
 class GoneEvidence(StrEnum):
     """The kinds of evidence; the values are written to the log and to `/status`."""
@@ -59,12 +61,12 @@
     """Counts the verdicts of one shard owner, and keeps the newest ones for the log."""
 
     def __init__(self) -> None:
-        self.counts: Counter[str] = Counter()  # by evidence
+        self.counts: Counter[str] = Counter()  # by evidence, or `UNSUPPORTED`
         self._pending: list[GoneVerdict] = []
 
     def record(self, verdict: GoneVerdict) -> None:
         """Count a verdict, and keep it until the next call of `take`."""
-        self.counts[verdict.evidence.value] += 1
+        self.counts[verdict.evidence.value if verdict.is_supported else UNSUPPORTED] += 1
         if len(self._pending) < MAX_PENDING_VERDICTS:
             self._pending.append(verdict)
 
--- a/ploverhall/scheduling/lease_monitor.py
+++ b/ploverhall/scheduling/lease_monitor.py
@@ -1,8 +1,9 @@
 """Expiry of the leases of machines that have sent no heartbeats for too long.
 
 The tasks of a machine count as gone only when its lease must have expired by the machine's own
-clock, and a fresh read has confirmed that no other controller owns the shard. The shard owner calls
-this module with each sweep. No I/O.
+clock, and a fresh read has confirmed that no other controller owns the shard. That ends the
+incarnation of the agent that sent the last heartbeat, and no later one. The shard owner calls this
+module with each sweep. No I/O.
 """
 
 from __future__ import annotations
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -2,9 +2,10 @@
 
 `ShardOwner` processes source updates, heartbeats and the passing of time, and produces commands for
 agents and updates for the sources and the autoscaler. Its components handle the requests of the
-sources (`source_requests`), the permits (`permit_table`), the leases of the machines
-(`lease_monitor`) and their health (`machine_health`), the placement of candidates (`placement`) and
-the commands (`command_builder`). It does no I/O: messages and the clock are passed in. Work is
+sources (`source_requests`), the agents' messages (`heartbeat_reception`), the permits
+(`permit_table`), the leases of the machines (`lease_monitor`) and their health (`machine_health`),
+the placement of candidates (`placement`), the commands (`command_builder`) and late copies of these
+(`run_fence`). It does no I/O: messages and the clock are passed in. Work is
 incremental: only what has changed is processed. The controller's scheduling loop and its request
 handlers call this module.
 """
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -225,6 +225,61 @@
     assert o.commands_for(m, 2.0) == [] and o.token_space_exhausted
 
 
+def test_message_that_is_not_newer_changes_nothing_and_is_counted() -> None:
+    o, m = started(direct=True)
+    base = m.token
+    o.on_heartbeat(report(5, base, listed("running"), session=2), 1.0)
+    for stale in (report(9, base), report(5, base, session=2), report(4, base, session=2)):
+        o.on_heartbeat(stale, 1.5)
+        o.on_direct_answer(m, stale, 1.5)
+    assert state(o) == "running" and m.incarnation == 2 and m.sequence == 5
+    assert o.stale_message_count == 6 and m.last_heartbeat_at == 1.0
+
+
+def test_refused_command_is_not_sent_again_without_new_evidence() -> None:
+    o, m = started(direct=False)
+    o.on_heartbeat(report(5, m.token, listed("running"), session=2), 1.0)
+    o.on_source_update(0, False, permit(stop=0.0), 1.1)
+    request_count = 0
+    for step in range(20):
+        now = 1.2 + step
+        for _, body in o.direct_commands(now):
+            request_count += 1
+            assert body["tide"] == 2
+            o.on_direct_answer(m, report(3, m.token), now)  # 409: not newer than what is known
+    assert request_count <= 1
+
+
+def test_late_heartbeat_after_an_expired_lease_starts_and_ends_nothing() -> None:
+    o, m = started(direct=False)
+    o.on_heartbeat(report(2, m.token, listed("running"), session=2), 1.0)
+    m.last_answer_at = 1.0
+    o.epoch_confirmed_at = 12.1
+    o.advance_time(12.2)
+    o.on_heartbeat(report(9, EPOCH << TOKEN_BITS, listed("running")), 13.0)  # from incarnation 1
+    assert state(o) == "gone" and o.inventory.unusable(m, 13.0)
+    o.on_heartbeat(report(3, EPOCH << TOKEN_BITS, session=3), 14.0)
+    assert m.incarnation == 3 and o.inventory.unusable(m, 14.0), "it has not shown the new token"
+    o.on_heartbeat(report(4, m.token, session=3), 15.0)
+    assert not o.inventory.unusable(m, 15.0)
+
+
+def test_late_heartbeat_from_before_an_agent_began_anew_ends_no_attempt() -> None:
+    o, m = started(direct=False)
+    o.on_heartbeat(report(9, m.token, listed("running"), session=3), 1.0)
+    m.last_answer_at = 1.0
+    o.epoch_confirmed_at = 12.1
+    o.advance_time(12.2)
+    o.on_source_update(0, False, {peer_messages.permit_key(KEY): None}, 12.3)
+    o.on_heartbeat(report(1, 0), 20.0)  # the agent began anew, with its first incarnation
+    o.on_heartbeat(report(2, m.token), 21.0)
+    o.on_source_update(0, False, permit(), 21.1)
+    assert [c["call"] for c in o.commands_for(m, 21.2)] == ["run"]
+    o.on_heartbeat(report(3, m.token, listed("running")), 22.0)
+    o.on_heartbeat(report(8, EPOCH << TOKEN_BITS, session=3), 23.0)
+    assert state(o) == "running"
+
+
 def test_reservation_expires_and_a_late_permit_takes_free_capacity_or_is_refused() -> None:
     o = owner()
     m = o.on_heartbeat(report(1, EPOCH << TOKEN_BITS), 0.0)
