Names: peers that a controller receives from, unreported tokens, tasks that fetch

`heard_peers`, `_hears_direct_relay` and `holder_heard`, and in the tests `token_told_at`, `told_before`, `away_s`, `PULLING`, `OWNER_BOARD` and one `news`, are named by the terms of the field. Wire values are unchanged.

--- a/ploverhall/connectivity/relay_routes.py
+++ b/ploverhall/connectivity/relay_routes.py
@@ -23,7 +23,7 @@
 INCARNATION_FIELD = "life"
 RELAY_KINDS_FIELD = "can"
 REACHABLE_SERVICES_FIELD = "good"
-HEARD_PEERS_FIELD = "hears"
+RECEIVES_FROM_FIELD = "hears"
 RELAYS_IN_USE_FIELD = "through"
 UNREACHABLE_SHARDS_FIELD = "cut"
 
@@ -37,7 +37,7 @@
     relay_kinds: frozenset[str] = frozenset()  # kinds of requests that it relays
     reachable_services: frozenset[str] = frozenset()  # external services that it reaches directly
     relays_in_use: dict[str, str] = field(default_factory=dict)  # by service: the relay it uses
-    heard_peers: frozenset[str] = frozenset()  # peers whose messages it receives
+    receives_from: frozenset[str] = frozenset()  # peers whose messages it receives
     # By shard: the epoch at which the peer holds it while no agent of the shard reaches the peer
     unreachable_shards: dict[int, int] = field(default_factory=dict)
     backoff_until: float = NEVER  # no route uses the peer before this time
@@ -61,7 +61,7 @@
         peer.incarnation = str(report.get(INCARNATION_FIELD))[:MAX_INCARNATION_LENGTH]
         peer.relay_kinds = _string_set(report.get(RELAY_KINDS_FIELD))
         peer.reachable_services = _string_set(report.get(REACHABLE_SERVICES_FIELD))
-        peer.heard_peers = _string_set(report.get(HEARD_PEERS_FIELD))
+        peer.receives_from = _string_set(report.get(RECEIVES_FROM_FIELD))
         peer.relays_in_use = _string_table(report.get(RELAYS_IN_USE_FIELD))
         peer.unreachable_shards = _integer_table(report.get(UNREACHABLE_SHARDS_FIELD))
 
@@ -101,7 +101,9 @@
         relays = [name for name in candidates if service in self.peers[name].reachable_services]
         if not relays and hops > 1:
             relays = [
-                name for name in candidates if self._hears_direct_relay(name, service, kind, avoid)
+                name
+                for name in candidates
+                if self._receives_from_direct_relay(name, service, kind, avoid)
             ]
         if not relays:
             return None
@@ -109,7 +111,7 @@
             self.chosen_relays[service] = relays[0]
         return self.chosen_relays[service]
 
-    def _hears_direct_relay(
+    def _receives_from_direct_relay(
         self, name: str, service: str, kind: str, avoid: frozenset[str]
     ) -> bool:
         """Return whether a peer receives the messages of another one that reaches the service.
@@ -119,7 +121,7 @@
         return any(
             other not in avoid
             and other != name
-            and other in self.peers[name].heard_peers
+            and other in self.peers[name].receives_from
             and kind in connectivity.relay_kinds
             and service in connectivity.reachable_services
             for other, connectivity in self.peers.items()
@@ -138,7 +140,7 @@
         if hops <= 1:
             return None
         for other, connectivity in self.peers.items():
-            if other == name or other in avoid or name not in connectivity.heard_peers:
+            if other == name or other in avoid or name not in connectivity.receives_from:
                 continue
             if self.can_relay_now(other, kind, now):
                 return other
--- a/ploverhall/controller/relay.py
+++ b/ploverhall/controller/relay.py
@@ -235,12 +235,14 @@
 
     def _connectivity_message(self, now: float) -> Message:
         """Return a message that says what this controller reaches and relays."""
-        heard_peers = [name for name in self.routes.peers if self.peer_liveness.is_alive(name, now)]
+        receives_from = [
+            name for name in self.routes.peers if self.peer_liveness.is_alive(name, now)
+        ]
         relay_kinds = list(relay_messages.KINDS) if self.context.settings.options.carry else []
         value = {
             relay_routes.INCARNATION_FIELD: self.pending.incarnation,
             relay_routes.RELAY_KINDS_FIELD: relay_kinds,
-            relay_routes.HEARD_PEERS_FIELD: heard_peers,
+            relay_routes.RECEIVES_FROM_FIELD: receives_from,
             **self.own_connectivity(),
         }
         return state_channel.peer_message(
--- a/ploverhall/coordination/orphaned_machines.py
+++ b/ploverhall/coordination/orphaned_machines.py
@@ -51,14 +51,14 @@
     def should_acquire(
         self,
         shard: int,
-        holder_heard: bool,
+        holder_alive: bool,
         now: float,
         is_preferred: bool = False,
         holder_without_heartbeats: bool = False,
     ) -> bool:
         """Return whether to acquire a shard from its holder.
 
-        `holder_heard`: whether the holder's messages arrive here. `is_preferred`: whether this
+        `holder_alive`: whether the holder's messages arrive here. `is_preferred`: whether this
         controller is the shard's preferred one. `holder_without_heartbeats`: whether the holder
         reports that none of its agents sends heartbeats any more. If so, machines need not return
         first, since each one redirected to the holder would wait for 4 s while its lease runs out.
@@ -87,4 +87,4 @@
         if len(returned) >= REQUIRED_MACHINES:
             return True
         counted = recent if is_preferred else served
-        return not holder_heard and len(counted) >= REQUIRED_MACHINES
+        return not holder_alive and len(counted) >= REQUIRED_MACHINES
--- a/tests/packet_checksums.py
+++ b/tests/packet_checksums.py
@@ -58,7 +58,7 @@
     "v",
     "a",
 )
-OWNER_BOARD = "o"
+OWNER_CHANNEL = "o"
 REASON_FIELD = AttemptUpdate._fields.index("reason")
 STATE_FIELD = AttemptUpdate._fields.index("state")
 # The only state whose reason is a sentence; the reasons of other states are codes from agents
@@ -105,7 +105,7 @@
     for message in batch:
         if message[0] in VIEW_MESSAGES:
             message[5] = None
-        elif message[0] == OWNER_BOARD:
+        elif message[0] == OWNER_CHANNEL:
             message[5] = {key: _without_reason(key, value) for key, value in message[5].items()}
     return cbor2.dumps(batch)
 
--- a/tests/simulation/controller_faults.py
+++ b/tests/simulation/controller_faults.py
@@ -22,8 +22,8 @@
         again = self.rng.random() < 0.3
         for _ in range(2 if again else 1):
             for name in names:
-                away_s = self.rng.choice([0.1, 0.3, 1.0, 3.0, 6.0])
-                self.cluster.tasks.start_soon(self.cluster.crash, name, away_s)
+                down_s = self.rng.choice([0.1, 0.3, 1.0, 3.0, 6.0])
+                self.cluster.tasks.start_soon(self.cluster.crash, name, down_s)
             await anyio.sleep(self.seconds(1.0, 7.0))
 
     async def roll(self) -> None:
--- a/tests/simulation/fake_agents.py
+++ b/tests/simulation/fake_agents.py
@@ -181,7 +181,7 @@
         """Send heartbeats at intervals of about `every` seconds, and earlier after a change."""
         names = list(clients)
         # When a heartbeat was last sent only for a higher token: at most once in half a lease
-        token_told_at = NEVER
+        token_reported_at = NEVER
         while True:
             if await self.wait_while_hung(agent):
                 self.tick(agent)
@@ -197,7 +197,7 @@
             else:
                 await self._find_controller(agent, names, status, answer)
                 continue
-            token_told_at = await self._wait_for_next(agent, token, listed, token_told_at)
+            token_reported_at = await self._wait_for_next(agent, token, listed, token_reported_at)
 
     async def _call(
         self, agent: ModelAgent, client: Client, body: dict[str, Any], sent: float
@@ -224,7 +224,7 @@
             await anyio.sleep(min(1.0, 5 * self.every))
 
     async def _wait_for_next(
-        self, agent: ModelAgent, token: int, listed: list[ModelTask], token_told_at: float
+        self, agent: ModelAgent, token: int, listed: list[ModelTask], token_reported_at: float
     ) -> float:
         """Wait until the next heartbeat is due.
 
@@ -234,13 +234,13 @@
         soon = self.now + min(0.5, self.every)
         while self.now < due:
             may_send = self.now >= soon
-            token_untold = self.now - token_told_at > parameters.LEASE_S / 2
-            if may_send and agent.token > token and token_untold:
+            token_unreported = self.now - token_reported_at > parameters.LEASE_S / 2
+            if may_send and agent.token > token and token_unreported:
                 return self.now
             if may_send and self._tasks_of(agent) != listed:
-                return token_told_at
+                return token_reported_at
             await anyio.sleep(min(POLL_S, self.every))
-        return token_told_at
+        return token_reported_at
 
     @staticmethod
     def _tasks_of(agent: ModelAgent) -> list[ModelTask]:
--- a/tests/simulation/model_agent.py
+++ b/tests/simulation/model_agent.py
@@ -17,8 +17,8 @@
 FOREVER_S = 1e9
 LEASE_TOLERANCE_S = 0.1  # interval at which agents check their lease
 
-PULLING, WAITING, RUNNING, ENDED = "pulling", "waiting", "running", "ended"
-NOT_ON_MACHINE = (PULLING, ENDED)
+FETCHING, WAITING, RUNNING, ENDED = "pulling", "waiting", "running", "ended"
+NOT_ON_MACHINE = (FETCHING, ENDED)
 
 
 class AgentWorld(Protocol):
@@ -111,7 +111,7 @@
             self.answered_sent = self.world.now
         for attempt, task in list(self.tasks.items()):
             job = self.world.specs[attempt[0]]
-            if task.state == PULLING and self.world.now >= task.ready:
+            if task.state == FETCHING and self.world.now >= task.ready:
                 self._start(attempt, task, job)
             elif task.state == RUNNING and job.kind != "gang" and self.world.now >= task.until:
                 task.end("done")
@@ -146,7 +146,7 @@
             return
         job = self.world.specs[attempt[0]]
         fetch_s = CACHED_FETCH_S if job.image in self.images else FETCH_S
-        task = ModelTask(PULLING, ready=self.world.now + fetch_s)
+        task = ModelTask(FETCHING, ready=self.world.now + fetch_s)
         if any(
             known[:2] == attempt[:2] and other.state != ENDED for known, other in self.tasks.items()
         ):
--- a/tests/simulation/users.py
+++ b/tests/simulation/users.py
@@ -205,7 +205,7 @@
         when the request was sent. The time of `cancel_s` starts with the first answer that says
         that the job is cancelled, whichever request it answers.
         """
-        told_before, accepted = self.told.get(jid), self.asked[jid].accepted is not None
+        earlier_state, accepted = self.told.get(jid), self.asked[jid].accepted is not None
         try:
             status, answer = await self.users[name].call(method, path, body, s)
         except UnreachableError:
@@ -223,17 +223,17 @@
             return 0
         if path.endswith("/withdraw") and state not in FINAL_STATES:
             self.broken.append(f"no answer to a cancellation: {where}")
-        self._check_state(jid, state, told_before, where)
+        self._check_state(jid, state, earlier_state, where)
         if not accepted and self.asked[jid].accepted is None:
             self._accept(jid)
         if state in FINAL_STATES and self.told.get(jid) is None:
             self._remember_final_state(jid, state)
         return status
 
-    def _check_state(self, jid: str, state: str, told_before: str | None, where: str) -> None:
+    def _check_state(self, jid: str, state: str, earlier_state: str | None, where: str) -> None:
         """Check a job's state in an answer against earlier answers and the finished tasks."""
         told = self.told.get(jid)
-        went_back = told_before is not None and state != told_before
+        went_back = earlier_state is not None and state != earlier_state
         if went_back or (state in FINAL_STATES and told not in (None, state)):
             self.broken.append(f"went_back: was {told}, {where}")
         if state == jobs.CANCELLED and jid not in self.withdrawing:
--- a/tests/test_stale_heartbeats.py
+++ b/tests/test_stale_heartbeats.py
@@ -259,11 +259,11 @@
             self.now += parameters.LEASE_S + 2.0
         self.now += 0.1 + n / 40
         self.owner.advance_time(self.now)
-        for (_, key), news in self.owner.take_source_updates().items():
+        for (_, key), update in self.owner.take_source_updates().items():
             if (
                 key[0] == peer_messages.ATTEMPT
-                and news is not None
-                and news[0] in ("gone", "exited")
+                and update is not None
+                and update[0] in ("gone", "exited")
             ):
                 job, _, attempt = peer_messages.attempt_id_of_key(key)
                 if self.entries.get(job, (0, 0))[0] == attempt:
