--- a/ploverhall/controller/gone_verdict_log.py
+++ b/ploverhall/controller/gone_verdict_log.py
@@ -27,7 +27,8 @@
         """Log the verdicts since the last call; `now` is in seconds of the steady clock."""
         for verdict in owner.gone_verdicts.take():
             if not verdict.is_supported:
-                log.error("unsupported gone verdict", **_fields(verdict, owner, now))
+                write = log.error if self._has_line(now) else log.debug
+                write("unsupported gone verdict", **_fields(verdict, owner, now))
             elif verdict.evidence in ROUTINE_EVIDENCE or not self._has_line(now):
                 log.debug("attempt gone", **_fields(verdict, owner, now))
             else:
