An unsupported gone verdict always reaches the log

Found on rereading: an owner kept 200 verdicts a step for the log, so an unsupported one behind 200 others was counted in `/status` but not logged. The docstring no longer says that the newest are kept.

The new test fails without the change (200 == 201).

--- a/ploverhall/scheduling/gone_verdicts.py
+++ b/ploverhall/scheduling/gone_verdicts.py
@@ -14,7 +14,8 @@
 
 from ploverhall.protocol.agents import AttemptId
 
-MAX_PENDING_VERDICTS = 200  # kept for the log between two steps; the others are only counted
+# Supported verdicts kept for the log between two steps; the others are only counted
+MAX_PENDING_VERDICTS = 200
 
 UNSUPPORTED = "unsupported"  # counted instead of the evidence if that does not cover the run
 
@@ -58,7 +59,7 @@
 
 
 class GoneVerdicts:
-    """Counts the verdicts of one shard owner, and keeps the newest ones for the log."""
+    """Counts the verdicts of one shard owner, and keeps those since the last step for the log."""
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()  # by evidence, or `UNSUPPORTED`
@@ -67,10 +68,10 @@
     def record(self, verdict: GoneVerdict) -> None:
         """Count a verdict, and keep it until the next call of `take`."""
         self.counts[verdict.evidence.value if verdict.is_supported else UNSUPPORTED] += 1
-        if len(self._pending) < MAX_PENDING_VERDICTS:
+        if not verdict.is_supported or len(self._pending) < MAX_PENDING_VERDICTS:
             self._pending.append(verdict)
 
     def take(self) -> list[GoneVerdict]:
-        """Return the verdicts since the last call, at most `MAX_PENDING_VERDICTS`."""
+        """Return the verdicts since the last call: the first ones, and all unsupported ones."""
         taken, self._pending = self._pending, []
         return taken
--- a/tests/test_gone_verdict_log.py
+++ b/tests/test_gone_verdict_log.py
@@ -45,6 +45,15 @@
     assert capsys.readouterr().err.count("\n") == MAX_LINES_PER_S
 
 
+def test_unsupported_verdict_is_kept_behind_many_supported_ones() -> None:
+    shard_owner = owner()
+    for number in range(2 * MAX_PENDING_VERDICTS):
+        shard_owner.gone_verdicts.record(verdict(number))
+    shard_owner.gone_verdicts.record(verdict(0, GoneEvidence.NEW_INCARNATION))
+    taken = shard_owner.gone_verdicts.take()
+    assert len(taken) == MAX_PENDING_VERDICTS + 1 and not taken[-1].is_supported
+
+
 def test_machine_name_cannot_forge_a_line_on_a_gone_attempt(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
