--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -250,12 +250,18 @@
     assert request_count <= 1
 
 
-def test_late_heartbeat_after_an_expired_lease_starts_and_ends_nothing() -> None:
+def with_expired_lease(seq: int, session: int) -> tuple[ShardOwner, Any]:
+    """Return an owner whose machine ran its attempt until its lease expired, and the machine."""
     o, m = started(direct=False)
-    o.on_heartbeat(report(2, m.token, listed("running"), session=2), 1.0)
+    o.on_heartbeat(report(seq, m.token, listed("running"), session=session), 1.0)
     m.last_answer_at = 1.0
     o.epoch_confirmed_at = 12.1
     o.advance_time(12.2)
+    return o, m
+
+
+def test_late_heartbeat_after_an_expired_lease_starts_and_ends_nothing() -> None:
+    o, m = with_expired_lease(2, session=2)
     o.on_heartbeat(report(9, EPOCH << TOKEN_BITS, listed("running")), 13.0)  # from incarnation 1
     assert state(o) == "gone" and o.inventory.unusable(m, 13.0)
     o.on_heartbeat(report(3, EPOCH << TOKEN_BITS, session=3), 14.0)
@@ -265,11 +271,7 @@
 
 
 def test_late_heartbeat_from_before_an_agent_began_anew_ends_no_attempt() -> None:
-    o, m = started(direct=False)
-    o.on_heartbeat(report(9, m.token, listed("running"), session=3), 1.0)
-    m.last_answer_at = 1.0
-    o.epoch_confirmed_at = 12.1
-    o.advance_time(12.2)
+    o, m = with_expired_lease(9, session=3)
     o.on_source_update(0, False, {peer_messages.permit_key(KEY): None}, 12.3)
     o.on_heartbeat(report(1, 0), 20.0)  # the agent began anew, with its first incarnation
     o.on_heartbeat(report(2, m.token), 21.0)
