--- a/ploverhall/controller/scheduling_loop.py
+++ b/ploverhall/controller/scheduling_loop.py
@@ -14,6 +14,7 @@
 from ploverhall import log
 from ploverhall.autoscaling.autoscaler import Autoscaler
 from ploverhall.controller.context import ControllerContext, HeldShard
+from ploverhall.controller.gone_verdict_log import GoneVerdictLog
 from ploverhall.controller.peer_liveness import PeerLiveness
 from ploverhall.controller.routing import Routing
 from ploverhall.controller.step_timer import MeasuredStep
@@ -66,6 +67,7 @@
         self.on_stall = on_stall
         self.renewal_grant = renewal_grant
         self.send_direct_command = send_direct_command
+        self.gone_verdict_log = GoneVerdictLog()
         self.periodic_update_at = 0.0
         self.last_step_lag_s = 0.0  # how late the newest step was
         self.max_lag_s = 0.0  # the greatest lag of a step since the last shortage check
@@ -181,6 +183,7 @@
                     self.send_direct_command(owner, machine, body)
         with measure("owner updates"):
             self._queue_owner_updates(held)
+        self.gone_verdict_log.write(owner, now)
 
     def _queue_owner_updates(self, held: HeldShard) -> None:
         """Queue a shard owner's updates for the sources."""
--- a/ploverhall/controller/shard_roles.py
+++ b/ploverhall/controller/shard_roles.py
@@ -51,7 +51,7 @@
         """
         held = HeldShard(shard, epoch, self._new_owner(shard, epoch))
         self.context.held_shards[shard] = held
-        log.info("shard acquired", shard=shard, epoch=epoch)
+        log.info("shard acquired", shard=shard, epoch=epoch, token=held.owner.initial_token)
         self.routing.update_routes()
         self.routing.replay(shard, OWNER_CHANNEL_KINDS)
         self.start_tasks(held)
@@ -74,6 +74,7 @@
         )
         owner.machine_types = context.machine_types or {}
         owner.inventory.usage.resources_of_job = context.resources_of_job
+        owner.log_debug = log.debug
         owner.job_ended_in_store = context.store_cache.ended_jobs.__contains__
         return owner
 
@@ -107,6 +108,12 @@
         for held in self.context.held_shards.values():
             if self.context.store_cache.holder(held.shard)[1] == held.epoch:
                 held.owner.epoch_confirmed_at = max(held.owner.epoch_confirmed_at, read_started_at)
+                log.debug(
+                    "epoch confirmed",
+                    shard=held.shard,
+                    epoch=held.epoch,
+                    read_ago_s=round(self.context.clock() - read_started_at, 3),
+                )
 
     def on_event_loop_stall(
         self, seconds: float, now: float, longest_step: MeasuredStep | None = None
--- a/ploverhall/controller/shard_status.py
+++ b/ploverhall/controller/shard_status.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
 from ploverhall.controller.context import ControllerContext
@@ -101,8 +102,21 @@
         if slowest is not None:
             ago_s = round(now - slowest.ended_at, 1)
             fields["slow_step"] = [ago_s, round(slowest.seconds, 2), slowest.name]
+        self._add_evidence_counts(fields)
         return fields
 
+    def _add_evidence_counts(self, fields: ControllerFields) -> None:
+        """Add the counts of gone verdicts and stale messages of the shards held here, if any."""
+        gone_verdicts: Counter[str] = Counter()
+        stale_messages = 0
+        for held in self.context.held_shards.values():
+            gone_verdicts.update(held.owner.gone_verdicts.counts)
+            stale_messages += held.owner.stale_message_count
+        if gone_verdicts:
+            fields["gone_verdicts"] = dict(sorted(gone_verdicts.items()))
+        if stale_messages:
+            fields["stale_messages"] = stale_messages
+
     def _recent_stall(self, now: float) -> list[float] | None:
         """Return how long ago the last event-loop stall ended and its length, both in seconds.
 
--- a/ploverhall/scheduling/command_builder.py
+++ b/ploverhall/scheduling/command_builder.py
@@ -157,6 +157,16 @@
             machine.inflight_runs.add(permit.attempt_id)
         else:
             machine.runs_in_answer.add(permit.attempt_id)
+        self.state.log_debug(
+            "run sent",
+            job=permit.attempt_id.job_id,
+            task=permit.attempt_id.task,
+            attempt=permit.attempt_id.attempt,
+            machine=machine.name,
+            incarnation=machine.incarnation,
+            token=machine.token,
+            direct=int(direct),
+        )
         return agents.run_command(permit.attempt_id)
 
 
--- a/ploverhall/scheduling/permit_table.py
+++ b/ploverhall/scheduling/permit_table.py
@@ -9,17 +9,20 @@
 from ploverhall.protocol import peer_messages
 from ploverhall.protocol.agents import EXITED, AttemptId
 from ploverhall.protocol.peer_messages import PermitUpdate
+from ploverhall.scheduling.gone_verdicts import GoneEvidence, GoneVerdict
 from ploverhall.scheduling.machines import JobTraits, Machine, Permit, Reservation
 from ploverhall.scheduling.reservations import ReservationTable
 from ploverhall.scheduling.resources import NO_RESOURCES, fits
 from ploverhall.scheduling.shard_state import ShardState
 
 # Reasons why a permitted attempt is gone: texts for people, sent to the sources
-GONE_MACHINE = "its machine is gone"
-GONE_REFUSED = "its room was taken"
-GONE_LEASE = "its worker's lease ran out"
-GONE_UNLISTED = "its worker no longer has it"
-GONE_UNRESPONSIVE = "its worker was silent until its lease ran out"
+GONE_REASONS = {
+    GoneEvidence.MACHINE_DELETED: "its machine is gone",
+    GoneEvidence.RUN_NOT_SENT: "its room was taken",
+    GoneEvidence.NEW_INCARNATION: "its worker's lease ran out",
+    GoneEvidence.UNLISTED: "its worker no longer has it",
+    GoneEvidence.LEASE_EXPIRED: "its worker was silent until its lease ran out",
+}
 
 
 class PermitTable:
@@ -229,8 +232,7 @@
                 or permit.epoch < self.state.epoch
                 or permit.attempt_id in machine.tasks
             ):
-                permit.gone = True
-                permit.gone_reason = permit.gone_reason or GONE_UNRESPONSIVE
+                self._mark_gone(permit, GoneEvidence.LEASE_EXPIRED, machine)
             else:
                 permit.refused = True
                 self.check_gone(permit)
@@ -241,34 +243,61 @@
         if permit.gone:
             return
         machine = self.machines.get(permit.machine)
+        evidence = self._evidence_of_gone(permit, machine)
+        if evidence is not None:
+            self._mark_gone(permit, evidence, machine)
+            self.changed_attempts.add(permit.attempt_id)
+            self.state.attempt_changed(machine, permit.attempt_id)
+
+    def _evidence_of_gone(self, permit: Permit, machine: Machine | None) -> GoneEvidence | None:
+        """Return the evidence that an attempt is gone, apart from its machine's lease."""
         if permit.machine in self.inventory.deleted_machines:
-            permit.gone = True
-            permit.gone_reason = GONE_MACHINE
-        elif permit.refused and permit.run_token == 0 and permit.epoch == self.state.epoch:
+            return GoneEvidence.MACHINE_DELETED
+        if permit.refused and permit.run_token == 0 and permit.epoch == self.state.epoch:
             # Only this owner could have sent the run, and it has not
-            permit.gone = True
-            permit.gone_reason = GONE_REFUSED
-        elif (
+            return GoneEvidence.RUN_NOT_SENT
+        if (
             machine is not None
             and permit.attempt_id not in machine.tasks
             and machine.accepted_token
         ):
-            self._check_unlisted(permit, machine)
-        if permit.gone:
-            self.changed_attempts.add(permit.attempt_id)
-            self.state.attempt_changed(machine, permit.attempt_id)
+            return self._evidence_of_unlisted(permit, machine)
+        return None
 
-    def _check_unlisted(self, permit: Permit, machine: Machine) -> None:
-        """Mark a permit that its machine does not list as gone, if no run can still arrive."""
+    def _evidence_of_unlisted(self, permit: Permit, machine: Machine) -> GoneEvidence | None:
+        """Return the evidence that no run of an attempt that its machine omits can still arrive."""
         if permit.run_token:
             # The newest list omits the attempt under a token raised since the last run command was
             # sent, or the agent has begun a new incarnation
-            is_new_incarnation = machine.incarnation > permit.run_incarnation
-            permit.gone = machine.seen_token > permit.run_token or is_new_incarnation
-            permit.gone_reason = GONE_LEASE if is_new_incarnation else GONE_UNLISTED
-        elif permit.epoch < self.state.epoch:
+            if machine.incarnation > permit.run_incarnation:
+                return GoneEvidence.NEW_INCARNATION
+            return GoneEvidence.UNLISTED if machine.seen_token > permit.run_token else None
+        if permit.epoch < self.state.epoch:
             # Runs of earlier epochs carry lower tokens than the one the machine has accepted
-            permit.gone = True
-            permit.gone_reason = GONE_UNLISTED
-        elif permit.stop_grace_s is not None and permit.epoch == self.state.epoch:
-            permit.gone = True  # its run was never sent
+            return GoneEvidence.UNLISTED
+        if permit.stop_grace_s is not None and permit.epoch == self.state.epoch:
+            return GoneEvidence.RUN_NOT_SENT
+        return None
+
+    def _mark_gone(self, permit: Permit, evidence: GoneEvidence, machine: Machine | None) -> None:
+        """Mark a permit as gone, and record the verdict with what supports it."""
+        if permit.gone:
+            return
+        permit.gone = True
+        if evidence is not GoneEvidence.RUN_NOT_SENT or permit.refused:
+            permit.gone_reason = GONE_REASONS[evidence]
+        by_clock = evidence is GoneEvidence.LEASE_EXPIRED
+        self.state.gone_verdicts.record(
+            GoneVerdict(
+                permit.attempt_id,
+                permit.machine,
+                evidence,
+                permit.run_incarnation,
+                permit.run_token,
+                (machine.newest_heartbeat[0] if by_clock else machine.incarnation)
+                if machine
+                else 0,
+                machine.seen_token if machine else 0,
+                max(machine.last_answer_at, machine.last_heartbeat_at) if machine else 0.0,
+            )
+        )
--- a/ploverhall/scheduling/shard_owner.py
+++ b/ploverhall/scheduling/shard_owner.py
@@ -144,6 +144,7 @@
         known_number = (machine.incarnation, machine.sequence)
         machine.stale_heartbeat = number <= (known_number if direct else machine.newest_heartbeat)
         if machine.stale_heartbeat:
+            self.stale_message_count += 1
             return machine
         # The agent got no answer to its previous heartbeat, and this one came through another
         # controller
--- a/ploverhall/scheduling/shard_state.py
+++ b/ploverhall/scheduling/shard_state.py
@@ -13,6 +13,7 @@
 from ploverhall.coordination import fencing_tokens
 from ploverhall.protocol.agents import AttemptId
 from ploverhall.protocol.jobs import Job
+from ploverhall.scheduling.gone_verdicts import GoneVerdicts
 from ploverhall.scheduling.inventory import Inventory
 from ploverhall.scheduling.machines import Machine
 from ploverhall.scheduling.resources import ResourceVector
@@ -86,11 +87,16 @@
         self.synced_sources: set[int] = set()
         # Attempts with a pending update for their sources
         self.changed_attempts = AttemptSet()
+        self.gone_verdicts = GoneVerdicts()
+        # Messages of agents that were not newer than an earlier one, and so changed nothing
+        self.stale_message_count = 0
         # Machines that may need a direct command
         self.machines_needing_commands: dict[str, Machine] = {}
         # Machines with a pending update for the autoscaler; None: the machine has been removed
         self.changed_for_autoscaler: dict[str, Machine | None] = {}
         self.needs_step = True
+        # Logs a decision; set by the controller
+        self.log_debug: Callable[..., None] = lambda *args, **fields: None
         # Whether a job has ended, according to the store cache of this controller
         self.job_ended_in_store: Callable[[str], bool] = lambda job_id: False
 
--- a/scripts/custom_days/__main__.py
+++ b/scripts/custom_days/__main__.py
@@ -8,6 +8,8 @@
         --overlapping-faults 20 [--only gap]
     python -m scripts.custom_days --bench FLEETBENCH --site SITE.toml --out DIR
         --scenarios 20 [--seed 1]
+    python -m scripts.custom_days --bench FLEETBENCH --site SITE.toml --out DIR
+        --lease-losses 6 [--seed 1]
 
 `--random N` makes N copies of the site with one day on each. A copy has 2 to 7 controllers, 1 to
 4 zones (at least 2 if jobs are spread; of uneven size, sometimes one without a controller), 0.5
@@ -18,16 +20,17 @@
 day, while half to four fifths of an array class is cancelled. On every third day, named `gap`,
 one controller is refused or cut off from the key-value store, and then the store is down for all
 controllers for longer than `cancel_s`. `--scenarios N` makes N days with the operators' further
-faults, three of `scripts.custom_days.scenarios` a day. Days are played without charging the
+faults, three of `scripts.custom_days.scenarios` a day. `--lease-losses N` makes N days on which
+most machines lose their leases in bursts of new services, and then send no heartbeats. Days are played without charging the
 processor unless `--charge` is given, so that a day is mostly repeatable. A day whose figures are
 already in DIR is not played again. Earlier names of the options still work: `--drawn`, `--table`,
 `--meetings`, `--further`.
 
-A day fails by its broken rules, by the lowest served share of any class or team or of any class's
-largest jobs, by how late those begin (`scripts.served_by_class`), or by unplanned restarts. Also
-shown: the bench's figure, tasks killed by their lease, the replicas' worst 30 s, processor
-seconds of all controllers, and the highest memory and sockets as shares of a controller's limits.
-Exits with status 1 if a day failed.
+A day fails by its broken rules, by verdicts without evidence that an attempt is gone, by the lowest
+served share of any class or team or of any class's largest jobs, by how late those begin
+(`scripts.served_by_class`), or by unplanned restarts. Also shown: the bench's figure, tasks killed
+by their lease, the replicas' worst 30 s, processor seconds of all controllers, and the highest
+memory and sockets as shares of a controller's limits. Exits with status 1 if a day failed.
 """
 
 from __future__ import annotations
@@ -43,6 +46,7 @@
 from scripts import side_by_side
 from scripts.custom_days.day import Day
 from scripts.custom_days.fixed_days import fixed_days
+from scripts.custom_days.lease_loss_days import lease_loss_day
 from scripts.custom_days.overlapping_faults import overlapping_day
 from scripts.custom_days.random_days import random_day
 from scripts.custom_days.results import DayFigures, has_failed, read_figures
@@ -73,6 +77,9 @@
     parser.add_argument(
         "--scenarios", "--further", type=int, default=0, help="number of days with fault scenarios"
     )
+    parser.add_argument(
+        "--lease-losses", type=int, default=0, help="number of days with lost leases"
+    )
     parser.add_argument(
         "--charge", action="store_true", help="charge the processor, as a scored run does"
     )
@@ -91,6 +98,7 @@
         days += fixed_days(args.site)
     days += numbered_days(overlapping_day, args.overlapping_faults)
     days += numbered_days(scenario_day, args.scenarios)
+    days += numbered_days(lease_loss_day, args.lease_losses)
     return [day for day in days if args.only in day.name]
 
 
--- a/scripts/custom_days/results.py
+++ b/scripts/custom_days/results.py
@@ -26,6 +26,8 @@
 
     score: float | None = column("figure")
     rules_broken: int = column("rules")
+    wrong_verdicts: int = column("wrong verdicts")
+    verdicts: int = column("verdicts")
     least_served_share: float = column("least served")
     least_served_name: str = column("who")
     largest_served_share: float = column("largest served")
@@ -52,6 +54,8 @@
     return DayFigures(
         score=_score(log, day.name),
         rules_broken=rules_broken(report),
+        wrong_verdicts=_count_lines(log, b" unsupported gone verdict "),
+        verdicts=_count_lines(log, b" attempt gone "),
         least_served_share=round(least.least_share if least else 1.0, 2),
         least_served_name=least.name if least else "",
         largest_served_share=round(min((row.served_share for row in largest), default=1.0), 2),
@@ -65,6 +69,12 @@
     )
 
 
+def _count_lines(log: Path, event: bytes) -> int:
+    """Return the number of lines of a log that contain an event."""
+    with log.open("rb") as lines:
+        return sum(event in line for line in lines)
+
+
 def _score(log: Path, day_name: str) -> float | None:
     """Return the bench's figure from its output line about the day; None without such a line."""
     pattern = rb"^%s +\d+ +([0-9.]+) " % re.escape(day_name).encode()
@@ -85,7 +95,7 @@
     """Return whether a day counts as failed."""
     if isinstance(outcome, FailedRun):
         return True
-    if outcome.rules_broken or outcome.unplanned_restarts:
+    if outcome.rules_broken or outcome.wrong_verdicts or outcome.unplanned_restarts:
         return True
     if outcome.largest_wait_s > served_by_class.MAX_WAIT_S:
         return True
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -21,6 +21,7 @@
 from . import parameters
 from .fake_agents import FakeAgents
 from .fake_key_value_store import FakeKeyValueStore
+from .gone_verdict_check import GoneVerdictCheck
 from .model_agent import ModelAgent
 from .simulated_network import SimulatedNetwork
 
@@ -74,6 +75,7 @@
         self.down: set[str] = set()
         self.teams = {f"team-{i}": settings.Team(f"team-{i}", 0, 0, 4, 16) for i in range(teams)}
         self.broken: list[str] = []  # descriptions of the rules that were broken
+        self.gone_verdicts = GoneVerdictCheck()
         # Share of transactions that get no answer and are executed 2 to 12 s later
         self.late_writes = 0.0
         self.late_rng = Random(seed + 9)
--- a/tests/simulation/scene.py
+++ b/tests/simulation/scene.py
@@ -12,6 +12,7 @@
 from ploverhall import log
 
 from .cluster import SimulatedCluster
+from .gone_verdict_check import checking_gone_verdicts
 from .verdicts import check
 from .virtual_time import SceneError, VirtualTimeLoop
 
@@ -55,7 +56,12 @@
         cluster = SimulatedCluster(seed, **kwargs)
         made.append(cluster)
         async with anyio.create_task_group() as tasks:
-            with _recording_programming_errors(programming_errors, tasks.cancel_scope.cancel):
+            with (
+                _recording_programming_errors(programming_errors, tasks.cancel_scope.cancel),
+                checking_gone_verdicts(
+                    cluster.gone_verdicts, lambda name: cluster.workers.get(name)
+                ),
+            ):
                 await cluster.start(tasks)
                 await scene(cluster)
                 tasks.cancel_scope.cancel()
--- a/tests/simulation/verdicts.py
+++ b/tests/simulation/verdicts.py
@@ -15,14 +15,25 @@
     Raises:
         AssertionError: a check failed.
     """
-    broken = cluster.broken + cluster.fleet.broken
-    assert not broken, broken[:3]
+    check_rules(cluster)
     for group in ("team", "job_class"):
         _check_shares(cluster, group)
     check_accepted(cluster)
     check_largest(cluster)
 
 
+def check_rules(cluster: SimulatedUsers) -> None:
+    """Check that no rule was broken, and that every attempt that counted as gone was gone.
+
+    Raises:
+        AssertionError: a check failed.
+    """
+    broken = cluster.broken + cluster.fleet.broken
+    assert not broken, broken[:3]
+    wrong = cluster.gone_verdicts.wrong
+    assert not wrong, wrong[:3]
+
+
 def _check_shares(cluster: SimulatedUsers, group: str) -> None:
     shares: dict[str, list[bool]] = {}
     for job_id, spec in cluster.specs.items():
